--- /dev/null
+++ b/filbertwick/tool/main.cc
@@ -0,0 +1,5 @@
+#include <cstdlib>
+
+int main() {
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/filbertwick/wire/archive.h
@@ -0,0 +1,212 @@
+#ifndef FILBERTWICK_WIRE_ARCHIVE_H_
+#define FILBERTWICK_WIRE_ARCHIVE_H_
+
+#include <absl/status/statusor.h>
+
+#include <cereal/cereal.hpp>
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/common.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/set.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <concepts>
+#include <cstdint>
+#include <cstring>
+#include <exception>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <utility>
+
+namespace filbertwick::wire {
+
+/// A cereal archive that writes integers as variable-length groups of seven
+/// bits, so that small numbers take one byte on every machine.
+class OutputArchive
+    : public cereal::OutputArchive<OutputArchive,
+                                   cereal::AllowEmptyClassElision> {
+ public:
+  OutputArchive() : cereal::OutputArchive<OutputArchive, 1>(this) {}
+
+  /// Appends raw bytes.
+  void SaveBytes(const void* data, size_t n) {
+    bytes_.append(static_cast<const char*>(data), n);
+  }
+
+  /// Appends a variable-length integer.
+  void SaveVarint(uint64_t value) {
+    while (value >= 0x80) {
+      bytes_.push_back(static_cast<char>(value | 0x80));
+      value >>= 7;
+    }
+    bytes_.push_back(static_cast<char>(value));
+  }
+
+  /// The bytes written so far.
+  std::string& bytes() { return bytes_; }
+
+ private:
+  std::string bytes_;
+};
+
+/// Reads what OutputArchive wrote. A size that claims more elements than bytes
+/// are left stops the read before any memory is taken for it.
+class InputArchive
+    : public cereal::InputArchive<InputArchive,
+                                  cereal::AllowEmptyClassElision> {
+ public:
+  /// Reads from `bytes`, which must outlive the archive.
+  explicit InputArchive(std::string_view bytes)
+      : cereal::InputArchive<InputArchive, 1>(this), rest_(bytes) {}
+
+  /// Takes raw bytes; throws cereal::Exception when too few are left.
+  void LoadBytes(void* data, size_t n) {
+    if (n > rest_.size()) {
+      throw cereal::Exception("the data ends early");
+    }
+    std::memcpy(data, rest_.data(), n);
+    rest_.remove_prefix(n);
+  }
+
+  /// Takes a variable-length integer; throws when it is damaged.
+  uint64_t LoadVarint() {
+    uint64_t value = 0;
+    for (int shift = 0; shift < 64; shift += 7) {
+      unsigned char byte = 0;
+      LoadBytes(&byte, 1);
+      value |= static_cast<uint64_t>(byte & 0x7f) << shift;
+      if (byte < 0x80) {
+        return value;
+      }
+    }
+    throw cereal::Exception("an integer is too long");
+  }
+
+  /// Bytes not read yet.
+  size_t remaining() const { return rest_.size(); }
+
+ private:
+  std::string_view rest_;
+};
+
+/// Writes a boolean as one byte, an integer or enumeration as a varint.
+template <typename Value>
+  requires std::is_arithmetic_v<Value>
+void CEREAL_SAVE_FUNCTION_NAME(OutputArchive& archive, const Value& value) {
+  if constexpr (std::is_floating_point_v<Value>) {
+    archive.SaveBytes(&value, sizeof(value));
+  } else if constexpr (std::is_signed_v<Value>) {
+    const auto wide = static_cast<int64_t>(value);
+    archive.SaveVarint((static_cast<uint64_t>(wide) << 1) ^
+                       static_cast<uint64_t>(wide >> 63));
+  } else {
+    archive.SaveVarint(static_cast<uint64_t>(value));
+  }
+}
+
+/// Reads what the function above wrote; throws when it does not fit the type.
+template <typename Value>
+  requires std::is_arithmetic_v<Value>
+void CEREAL_LOAD_FUNCTION_NAME(InputArchive& archive, Value& value) {
+  if constexpr (std::is_floating_point_v<Value>) {
+    archive.LoadBytes(&value, sizeof(value));
+  } else {
+    const uint64_t raw = archive.LoadVarint();
+    if constexpr (std::is_signed_v<Value>) {
+      const auto wide =
+          static_cast<int64_t>(raw >> 1) ^ -static_cast<int64_t>(raw & 1);
+      value = static_cast<Value>(wide);
+      if (static_cast<int64_t>(value) != wide) {
+        throw cereal::Exception("an integer is out of range");
+      }
+    } else {
+      value = static_cast<Value>(raw);
+      if (static_cast<uint64_t>(value) != raw) {
+        throw cereal::Exception("an integer is out of range");
+      }
+    }
+  }
+}
+
+/// Writes the number of elements that follow.
+template <typename Size>
+void CEREAL_SAVE_FUNCTION_NAME(OutputArchive& archive,
+                               const cereal::SizeTag<Size>& tag) {
+  archive.SaveVarint(static_cast<uint64_t>(tag.size));
+}
+
+/// Reads a number of elements; throws when more are claimed than bytes left.
+template <typename Size>
+void CEREAL_LOAD_FUNCTION_NAME(InputArchive& archive,
+                               cereal::SizeTag<Size>& tag) {
+  const uint64_t n = archive.LoadVarint();
+  if (n > archive.remaining()) {
+    throw cereal::Exception("a size is larger than the data");
+  }
+  tag.size = static_cast<std::decay_t<Size>>(n);
+}
+
+/// Writes a block of bytes.
+template <typename Data>
+void CEREAL_SAVE_FUNCTION_NAME(OutputArchive& archive,
+                               const cereal::BinaryData<Data>& data) {
+  archive.SaveBytes(data.data, static_cast<size_t>(data.size));
+}
+
+/// Reads a block of bytes.
+template <typename Data>
+void CEREAL_LOAD_FUNCTION_NAME(InputArchive& archive,
+                               cereal::BinaryData<Data>& data) {
+  archive.LoadBytes(data.data, static_cast<size_t>(data.size));
+}
+
+/// Passes a named value through.
+template <typename Value>
+void CEREAL_SAVE_FUNCTION_NAME(OutputArchive& archive,
+                               const cereal::NameValuePair<Value>& pair) {
+  archive(pair.value);
+}
+
+/// Passes a named value through.
+template <typename Value>
+void CEREAL_LOAD_FUNCTION_NAME(InputArchive& archive,
+                               cereal::NameValuePair<Value>& pair) {
+  archive(pair.value);
+}
+
+/// Bytes of any value with a serialize() member.
+template <typename Value>
+std::string EncodeValue(const Value& value) {
+  OutputArchive archive;
+  archive(value);
+  return std::move(archive.bytes());
+}
+
+/// Reads a value; InvalidArgument for damaged or left-over bytes.
+template <typename Value>
+absl::StatusOr<Value> DecodeValue(std::string_view bytes) {
+  InputArchive archive(bytes);
+  Value value;
+  try {
+    archive(value);
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError(error.what());
+  }
+  if (archive.remaining() != 0) {
+    return absl::InvalidArgumentError("bytes are left over");
+  }
+  return value;
+}
+
+}  // namespace filbertwick::wire
+
+CEREAL_REGISTER_ARCHIVE(filbertwick::wire::OutputArchive)
+CEREAL_REGISTER_ARCHIVE(filbertwick::wire::InputArchive)
+CEREAL_SETUP_ARCHIVE_TRAITS(filbertwick::wire::InputArchive,
+                            filbertwick::wire::OutputArchive)
+
+#endif  // FILBERTWICK_WIRE_ARCHIVE_H_
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# Runs clang-tidy over every source in the build's compile commands.
+#   scripts/lint.sh [BUILD_FOLDER]
+# A file whose preprocessed text and checks passed before is skipped: stamps of
+# passed content lie in the build folder.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+stamps=$build/lint
+mkdir -p "$stamps"
+lint_one() {
+  local source=$1 build=$2 stamps=$3 key
+  key=$({ cat .clang-tidy "$source"; git ls-files -co --exclude-standard 'filbertwick/*.h' | sort | xargs cat; } | sha1sum | cut -d' ' -f1)
+  [ -f "$stamps/$key" ] && return 0
+  clang-tidy-16 --quiet -p "$build" "$source" 2>/dev/null || { echo "lint failed: $source"; return 1; }
+  touch "$stamps/$key"
+}
+export -f lint_one
+git ls-files -co --exclude-standard '*.cc' | grep -v '^examples/embed/' |
+  xargs -P "$(nproc)" -I{} bash -c 'lint_one "$@"' _ {} "$build" "$stamps"
