Place waiting tasks on the least loaded upstream

EntryCore needs the declared Dispatcher. This one holds waiting tasks in a fair queue (class, least remaining work with ageing, team shares), keeps the upstreams of a service in an index by expected wait, refuses what passes a quota or the waiting bound, and leaves out zones that are out. Every decision is logarithmic. Ejection, withdrawal, retry budget and deadline admission are not in it yet. TaskRef moved to a header of its own, so that the queue stands alone.

--- a/filbertwick/core/policy/dispatcher.h
+++ b/filbertwick/core/policy/dispatcher.h
@@ -11,22 +11,12 @@
 #include "filbertwick/base/time.h"
 #include "filbertwick/bundle/bundle.h"
 #include "filbertwick/core/policy/policy_settings.h"
+#include "filbertwick/core/policy/task_ref.h"
 #include "filbertwick/wire/job.h"
 #include "filbertwick/wire/message.h"
 
 namespace filbertwick::core::policy {
 
-/// Number of a job inside one dispatcher, given by its user.
-using JobHandle = uint64_t;
-
-/// One task inside one dispatcher.
-struct TaskRef {
-  JobHandle job = 0;
-  uint32_t index = 0;
-
-  friend auto operator<=>(const TaskRef&, const TaskRef&) = default;
-};
-
 /// An upstream that may get work.
 struct UpstreamInfo {
   InstanceName name;
--- /dev/null
+++ b/filbertwick/core/policy/fair_queue.h
@@ -0,0 +1,121 @@
+#ifndef FILBERTWICK_CORE_POLICY_FAIR_QUEUE_H_
+#define FILBERTWICK_CORE_POLICY_FAIR_QUEUE_H_
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+#include "filbertwick/base/hash.h"
+#include "filbertwick/base/time.h"
+#include "filbertwick/bundle/bundle.h"
+#include "filbertwick/core/policy/policy_settings.h"
+#include "filbertwick/core/policy/task_ref.h"
+
+namespace filbertwick::core::policy {
+
+/// Dense number of a team, given by the queue's user.
+using TeamId = uint32_t;
+
+/// What the queue must know of a job.
+struct QueuedJob {
+  TeamId team = 0;
+  bundle::DeadlineClass deadline_class = bundle::DeadlineClass::kUrgent;
+  /// Expected run time of one of its tasks.
+  Duration task_run_time{0};
+  /// Tasks not ended yet, waiting or not.
+  uint32_t unfinished = 0;
+  Instant arrival;
+};
+
+/// Waiting tasks of one service in the order in which they get places: by
+/// deadline class, then by the least sum of the job's remaining work, its
+/// arrival (ageing) and its team's use (weighted fair shares). Each operation
+/// is logarithmic in waiting jobs and teams. Deterministic.
+class FairQueue {
+ public:
+  explicit FairQueue(const QueueSettings& settings);
+
+  /// Sets the share of a team against others; 1 until set.
+  void SetWeight(TeamId team, uint32_t weight);
+
+  /// Registers a job without waiting tasks.
+  void AddJob(JobHandle job, const QueuedJob& info);
+  /// Forgets a job and its waiting tasks.
+  void RemoveJob(JobHandle job);
+  /// Adds a waiting task; a task that waits already stays as it is. With
+  /// `front` it goes before the job's others.
+  void AddTask(const TaskRef& task, bool front);
+  /// Takes a waiting task out; false when it does not wait.
+  bool RemoveTask(const TaskRef& task);
+  /// Changes the number of unfinished tasks of a job.
+  void SetUnfinished(JobHandle job, uint32_t unfinished);
+
+  /// The task that goes next, without taking it.
+  std::optional<TaskRef> Peek() const;
+  /// Takes the task that goes next and charges its team.
+  std::optional<TaskRef> Pop();
+
+  /// Waiting tasks.
+  uint64_t size() const { return size_; }
+  /// Waiting tasks of one class.
+  uint64_t size(bundle::DeadlineClass deadline_class) const;
+  /// Expected run time of all waiting tasks that would go before a new job of
+  /// this class, in microseconds.
+  double work_ahead(bundle::DeadlineClass deadline_class) const;
+
+  /// Adds the queue's state to a digest.
+  void Hash(Hasher& hasher) const;
+
+ private:
+  struct Job {
+    QueuedJob info;
+    /// Waiting task indices in order.
+    std::set<std::pair<int64_t, uint32_t>> tasks;
+    /// Order key of each waiting task by its index.
+    std::unordered_map<uint32_t, int64_t> places;
+    double key = 0;
+  };
+  /// Jobs of one team and class with waiting tasks, least key first.
+  struct TeamLane {
+    std::set<std::pair<double, JobHandle>> jobs;
+    /// Work got, by weight, in the class's virtual time.
+    double virtual_time = 0;
+    double key = 0;
+  };
+  /// One deadline class.
+  struct Lane {
+    std::map<TeamId, TeamLane> teams;
+    /// Teams with waiting tasks, least key first.
+    std::set<std::pair<double, TeamId>> order;
+    double virtual_time = 0;
+    uint64_t size = 0;
+    double work = 0;
+  };
+
+  Lane& LaneOf(const Job& job);
+  double JobKey(const Job& job) const;
+  void Enqueue(JobHandle handle, Job& job);
+  void Dequeue(JobHandle handle, Job& job);
+  void Place(Lane& lane, TeamId team);
+  void Displace(Lane& lane, TeamId team);
+  void CountWaiting(const Job& job, int64_t tasks);
+  const Lane* NextLane() const;
+
+  QueueSettings settings_;
+  std::array<Lane, 2> lanes_;
+  std::unordered_map<JobHandle, Job> jobs_;
+  std::map<TeamId, uint32_t> weights_;
+  uint64_t size_ = 0;
+  int64_t last_place_ = 0;
+  int64_t first_place_ = 0;
+  /// Urgent placements since the last bulk one while both waited.
+  uint32_t urgent_run_ = 0;
+};
+
+}  // namespace filbertwick::core::policy
+
+#endif  // FILBERTWICK_CORE_POLICY_FAIR_QUEUE_H_
--- /dev/null
+++ b/unit_tests/dispatcher_test.cc
@@ -0,0 +1,173 @@
+#include "filbertwick/core/policy/dispatcher.h"
+
+#include <criterion/criterion.h>
+
+#include <fmt/format.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace filbertwick::core::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart = Instant(seconds(1));
+
+bundle::Bundle MakeBundle() {
+  bundle::Bundle bundle;
+  bundle.version = 1;
+  bundle.zones = {{ZoneName("a"), RegionName("r")},
+                  {ZoneName("b"), RegionName("r")}};
+  bundle::Service& service = bundle.services.emplace_back();
+  service.name = ServiceName("quote");
+  service.zones = {ZoneName("a"), ZoneName("b")};
+  service.slots = 2;
+  service.queue = 1;
+  service.repeatable = true;
+  bundle.teams = {{TeamName("one"), RegionName("r"), 1, 100},
+                  {TeamName("two"), RegionName("r"), 1, 100}};
+  return bundle;
+}
+
+UpstreamInfo MakeUpstream(int number) {
+  return {.name = InstanceName(fmt::format("u{}", number)),
+          .service = ServiceName("quote"),
+          .zone = ZoneName(number % 2 == 0 ? "a" : "b"),
+          .distance = Duration(number % 2 == 0 ? 100 : 500)};
+}
+
+JobShape Shape(uint32_t tasks, const char* team = "one") {
+  return {.service = ServiceName("quote"),
+          .team = TeamName(team),
+          .tasks = tasks,
+          .deadline = seconds(60)};
+}
+
+std::unique_ptr<Dispatcher> MakeDispatcher(int upstreams,
+                                           const PolicySettings& settings = {},
+                                           uint64_t seed = 1) {
+  auto dispatcher = Dispatcher::Create(settings, seed);
+  dispatcher->SetBundle(MakeBundle());
+  for (int i = 0; i < upstreams; ++i) {
+    dispatcher->UpsertUpstream(MakeUpstream(i), kStart);
+  }
+  return dispatcher;
+}
+
+void AddWaiting(Dispatcher& dispatcher, JobHandle job, const JobShape& shape) {
+  dispatcher.AddJob(job, shape, kStart);
+  for (uint32_t i = 0; i < shape.tasks; ++i) {
+    dispatcher.AddTask({job, i}, kStart);
+  }
+}
+
+std::vector<Placement> PlaceAll(Dispatcher& dispatcher, Instant now = kStart) {
+  std::vector<Placement> placements;
+  while (auto placement = dispatcher.Next(now)) {
+    placements.push_back(*placement);
+  }
+  return placements;
+}
+
+Test(dispatcher, never_places_more_than_slots_and_queue) {
+  auto dispatcher = MakeDispatcher(2);
+  AddWaiting(*dispatcher, 1, Shape(20));
+  std::map<InstanceName, int> count;
+  std::set<TaskRef> tasks;
+  for (const Placement& placement : PlaceAll(*dispatcher)) {
+    ++count[placement.upstream];
+    cr_assert(tasks.insert(placement.task).second);
+  }
+  cr_assert_eq(count.size(), 2);
+  for (const auto& [name, n] : count) {
+    cr_assert_leq(n, 3);
+  }
+  cr_assert_eq(dispatcher->waiting(), 20 - tasks.size());
+}
+
+Test(dispatcher, counts_the_load_of_others) {
+  auto dispatcher = MakeDispatcher(1);
+  dispatcher->UpdateLoad(InstanceName("u0"), {.slots = 2, .running = 2},
+                         kStart);
+  AddWaiting(*dispatcher, 1, Shape(5));
+  cr_assert_leq(PlaceAll(*dispatcher).size(), 1);
+  dispatcher->UpdateLoad(InstanceName("u0"), {.slots = 0}, kStart);
+  cr_assert_eq(PlaceAll(*dispatcher).size(), 0);
+}
+
+Test(dispatcher, places_nothing_into_a_zone_that_is_out) {
+  auto dispatcher = MakeDispatcher(2);
+  dispatcher->SetZoneOut(ZoneName("a"), true, kStart);
+  AddWaiting(*dispatcher, 1, Shape(20));
+  for (const Placement& placement : PlaceAll(*dispatcher)) {
+    cr_assert_eq(placement.upstream, InstanceName("u1"));
+  }
+  dispatcher->SetZoneOut(ZoneName("b"), true, kStart);
+  cr_assert_eq(dispatcher->Admit(Shape(1), kStart).reason,
+               wire::Reason::kNoUpstream);
+}
+
+Test(dispatcher, refuses_what_it_cannot_take) {
+  PolicySettings settings;
+  settings.max_waiting_tasks = 60;
+  auto dispatcher = MakeDispatcher(1, settings);
+  cr_assert_eq(dispatcher->Admit(Shape(1), kStart).reason, wire::Reason::kNone);
+  cr_assert_eq(dispatcher->Admit(Shape(1, "none"), kStart).reason,
+               wire::Reason::kUnknownTeam);
+  JobShape other = Shape(1);
+  other.service = ServiceName("none");
+  cr_assert_eq(dispatcher->Admit(other, kStart).reason,
+               wire::Reason::kUnknownService);
+  cr_assert_eq(dispatcher->Admit(Shape(101), kStart).reason,
+               wire::Reason::kOverQuota);
+  AddWaiting(*dispatcher, 1, Shape(50));
+  const Admission full = dispatcher->Admit(Shape(20, "two"), kStart);
+  cr_assert_eq(full.reason, wire::Reason::kOverloaded);
+  cr_assert_gt(full.retry_after.count(), 0);
+  // The quota counts what has not ended.
+  cr_assert_eq(dispatcher->Admit(Shape(51), kStart).reason,
+               wire::Reason::kOverQuota);
+  dispatcher->RemoveJob(1);
+  cr_assert_eq(dispatcher->Admit(Shape(51), kStart).reason,
+               wire::Reason::kNone);
+  cr_assert_eq(dispatcher->waiting(), 0);
+}
+
+Test(dispatcher, a_task_that_did_not_start_is_placed_again) {
+  auto dispatcher = MakeDispatcher(1);
+  AddWaiting(*dispatcher, 1, Shape(1));
+  cr_assert_eq(PlaceAll(*dispatcher).size(), 1);
+  cr_assert_eq(PlaceAll(*dispatcher).size(), 0);
+  dispatcher->OnEnded({1, 0}, TaskEnd::kNotStarted, Duration(0), kStart);
+  cr_assert_eq(PlaceAll(*dispatcher).size(), 0);
+  dispatcher->AddTask({1, 0}, kStart);
+  cr_assert_eq(PlaceAll(*dispatcher).size(), 1);
+  dispatcher->OnStarted({1, 0}, kStart);
+  dispatcher->OnEnded({1, 0}, TaskEnd::kSucceeded, milliseconds(5), kStart);
+  cr_assert_eq(dispatcher->waiting(), 0);
+}
+
+Test(dispatcher, same_calls_give_the_same_state) {
+  const auto run = [](uint64_t seed) {
+    auto dispatcher = MakeDispatcher(5, {}, seed);
+    for (JobHandle job = 1; job <= 9; ++job) {
+      AddWaiting(*dispatcher, job, Shape(3, job % 2 == 0 ? "one" : "two"));
+    }
+    for (const Placement& it : PlaceAll(*dispatcher)) {
+      dispatcher->OnStarted(it.task, kStart);
+      dispatcher->OnEnded(it.task, TaskEnd::kSucceeded, milliseconds(9),
+                          kStart);
+    }
+    PlaceAll(*dispatcher);
+    return dispatcher->StateHash();
+  };
+  cr_assert_eq(run(1), run(1));
+  cr_assert_neq(run(1), run(2));
+}
+
+}  // namespace
+}  // namespace filbertwick::core::policy
