Measure the policy against an all-knowing scheduler

bench_policy runs the same arrivals and run times through an all-knowing scheduler, four usual proxies and our dispatchers, in virtual time: an event loop, links with latency, executors behind a bounded sidecar queue, faults. Each entry decides by a Dispatcher of its own. TaskEnd gains kStopped, so that a cancelled task says nothing against its worker.

--- /dev/null
+++ b/bench/policy/executor.cc
@@ -0,0 +1,129 @@
+#include "bench/policy/executor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertwick::bench {
+
+using core::policy::TaskEnd;
+using core::policy::TaskRef;
+
+namespace {
+
+/// How fast an executor fails that fails everything.
+constexpr Duration kFailTime = std::chrono::milliseconds(2);
+
+}  // namespace
+
+Executor::Executor(EventLoop& loop,
+                   const Behaviour& behaviour,
+                   Lookup lookup,
+                   Report report)
+    : loop_(loop),
+      behaviour_(behaviour),
+      lookup_(std::move(lookup)),
+      report_(std::move(report)) {}
+
+void Executor::OnOffers(uint32_t entry, const std::vector<TaskRef>& tasks) {
+  for (const TaskRef& task : tasks) {
+    const Offer offer{entry, task};
+    if (zone_out_) {
+      Tell(offer, TaskEnd::kNotStarted, Duration(0));
+    } else if (running_.size() < behaviour_.slots) {
+      Start(offer);
+    } else if (queue_.size() < behaviour_.queue) {
+      queue_.push_back(offer);
+    } else {
+      Tell(offer, TaskEnd::kNotStarted, Duration(0));
+    }
+  }
+  Flush();
+}
+
+void Executor::OnWithdraw(uint32_t entry,
+                          const std::vector<TaskRef>& tasks,
+                          bool stop) {
+  for (const TaskRef& task : tasks) {
+    const auto queued = std::ranges::find(queue_, task, &Offer::task);
+    if (queued != queue_.end()) {
+      queue_.erase(queued);
+      Tell({entry, task}, TaskEnd::kNotStarted, Duration(0));
+    } else if (stop && std::erase(running_, task) > 0) {
+      Tell({entry, task}, TaskEnd::kStopped, Duration(0));
+    }
+  }
+  StartQueued();
+  Flush();
+}
+
+void Executor::SetZoneOut(bool out) {
+  zone_out_ = out;
+  if (out) {
+    for (const Offer& offer : queue_) {
+      Tell(offer, TaskEnd::kNotStarted, Duration(0));
+    }
+    queue_.clear();
+  }
+  Flush();
+}
+
+wire::Load Executor::load() const {
+  return {.slots = behaviour_.slots,
+          .running = static_cast<uint32_t>(running_.size()),
+          .queued = static_cast<uint32_t>(queue_.size())};
+}
+
+void Executor::Start(const Offer& offer) {
+  ++starts_;
+  running_.push_back(offer.task);
+  Tell(offer, std::nullopt, Duration(0));
+  const Execution execution = lookup_(offer.task);
+  auto run_time = std::chrono::duration_cast<Duration>(execution.run_time /
+                                                       behaviour_.speed);
+  bool failed = execution.fails;
+  if (failed) {
+    run_time /= 2;
+  }
+  if (behaviour_.fails) {
+    run_time = kFailTime;
+    failed = true;
+  }
+  if (!behaviour_.hangs) {
+    loop_.Post(loop_.now() + run_time, [this, offer, run_time, failed] {
+      End(offer, run_time, failed);
+    });
+  }
+}
+
+void Executor::End(const Offer& offer, Duration run_time, bool failed) {
+  // A stopped task has been told of already.
+  if (std::erase(running_, offer.task) == 0) {
+    return;
+  }
+  failures_ += failed ? 1 : 0;
+  Tell(offer, failed ? TaskEnd::kFailed : TaskEnd::kSucceeded, run_time);
+  StartQueued();
+  Flush();
+}
+
+void Executor::StartQueued() {
+  while (running_.size() < behaviour_.slots && !queue_.empty()) {
+    const Offer offer = queue_.front();
+    queue_.pop_front();
+    Start(offer);
+  }
+}
+
+void Executor::Tell(const Offer& offer,
+                    std::optional<TaskEnd> end,
+                    Duration run_time) {
+  outbox_[offer.entry].push_back({offer.task, end, run_time});
+}
+
+void Executor::Flush() {
+  for (auto& [entry, news] : std::exchange(outbox_, {})) {
+    report_(entry, std::move(news));
+  }
+}
+
+}  // namespace filbertwick::bench
--- a/filbertwick/core/policy/dispatcher.h
+++ b/filbertwick/core/policy/dispatcher.h
@@ -57,6 +57,8 @@
   kNotStarted,
   /// Its worker was lost.
   kLost,
+  /// Its owner stopped it while it ran; says nothing of its worker.
+  kStopped,
 };
 
 /// An upstream set aside or taken back since the last call.
--- a/filbertwick/core/policy/policy_settings.h
+++ b/filbertwick/core/policy/policy_settings.h
@@ -50,7 +50,7 @@
   uint32_t sharing_entries = 1;
   /// A job of an urgent service is urgent itself when its caller waits at most
   /// this long; else it counts as bulk.
-  Duration urgent_deadline = std::chrono::seconds(5);
+  Duration urgent_deadline = std::chrono::seconds(15);
   QueueSettings queue;
   PlacementSettings placement;
 };
