Keep bulk tasks at their entry until a slot is free

Cause: an entry put any task into the waiting places at sidecars, where the tasks of other entries then waited first come, first served. Change: only urgent tasks may take a waiting place, and only when no slot is known to be free; bulk tasks wait at their entry, where the order can still change.

--- a/bench/policy/entry_policy.cc
+++ b/bench/policy/entry_policy.cc
@@ -271,6 +271,14 @@
        [](PolicySettings& it) { it.placement.use_run_time = false; }},
       {"ours-no-own-zone",
        [](PolicySettings& it) { it.placement.prefer_own_zone = false; }},
+      {"ours-queue-all",
+       [](PolicySettings& it) {
+         it.placement.queue_use = core::policy::QueueUse::kAll;
+       }},
+      {"ours-queue-none",
+       [](PolicySettings& it) {
+         it.placement.queue_use = core::policy::QueueUse::kNone;
+       }},
       {"ours-no-unseen",
        [](PolicySettings& it) { it.placement.unseen_share = 0; }},
   };
--- a/filbertwick/core/policy/dispatcher.cc
+++ b/filbertwick/core/policy/dispatcher.cc
@@ -267,7 +267,7 @@
     next_service_ = id + 1;
     Service& service = *services_[id];
     const UpstreamId upstream = *service.index.Best();
-    const TaskRef ref = *service.queue.Pop();
+    const TaskRef ref = *service.queue.Pop(UrgentOnly(service, upstream));
     Task& task = jobs_.at(ref.job).tasks[ref.index];
     task.phase = Phase::kPlaced;
     task.upstream = upstream;
@@ -443,12 +443,17 @@
                            .own_zone = upstream.info.zone == settings_.own_zone,
                            .slots = slots,
                            .busy = upstream.placed + upstream.others,
-                           .limit = slots + service.spec.queue,
+                           .limit = slots + QueuePlaces(service),
                            .run_time = service.run_time.mean(),
                            .usual_run_time = service.run_time.mean()});
     Ready(upstream.service);
   }
 
+  uint32_t QueuePlaces(const Service& service) const {
+    const bool none = settings_.placement.queue_use == QueueUse::kNone;
+    return none ? 0 : service.spec.queue;
+  }
+
   void RefreshAll() {
     for (UpstreamId id = 0; id < upstreams_.size(); ++id) {
       Refresh(id);
@@ -458,13 +463,20 @@
   /// Notes whether the service has both a waiting task and a place.
   void Ready(ServiceId id) {
     const Service& service = *services_[id];
-    if (service.queue.size() > 0 && service.index.Best()) {
+    const std::optional<UpstreamId> best = service.index.Best();
+    if (best && service.queue.Peek(UrgentOnly(service, *best))) {
       ready_.insert(id);
     } else {
       ready_.erase(id);
     }
   }
 
+  /// Whether only urgent tasks may take the next place at the upstream.
+  bool UrgentOnly(const Service& service, UpstreamId upstream) const {
+    return settings_.placement.queue_use != QueueUse::kAll &&
+           !service.index.HasFreeSlot(upstream);
+  }
+
   PolicySettings settings_;
   uint64_t seed_;
   std::map<ServiceName, ServiceId> service_ids_;
--- a/filbertwick/core/policy/fair_queue.cc
+++ b/filbertwick/core/policy/fair_queue.cc
@@ -82,9 +82,9 @@
   }
 }
 
-std::optional<TaskRef> FairQueue::Peek() const {
-  const Lane* lane = NextLane();
-  if (lane == nullptr) {
+std::optional<TaskRef> FairQueue::Peek(bool urgent_only) const {
+  const Lane* lane = urgent_only ? &lanes_[0] : NextLane();
+  if (lane == nullptr || lane->order.empty()) {
     return std::nullopt;
   }
   const TeamLane& team = lane->teams.at(lane->order.begin()->second);
@@ -92,8 +92,8 @@
   return TaskRef{job, jobs_.at(job).tasks.begin()->second};
 }
 
-std::optional<TaskRef> FairQueue::Pop() {
-  const std::optional<TaskRef> task = Peek();
+std::optional<TaskRef> FairQueue::Pop(bool urgent_only) {
+  const std::optional<TaskRef> task = Peek(urgent_only);
   if (!task) {
     return std::nullopt;
   }
--- a/filbertwick/core/policy/fair_queue.h
+++ b/filbertwick/core/policy/fair_queue.h
@@ -54,10 +54,11 @@
   /// Changes the number of unfinished tasks of a job.
   void SetUnfinished(JobHandle job, uint32_t unfinished);
 
-  /// The task that goes next, without taking it.
-  std::optional<TaskRef> Peek() const;
-  /// Takes the task that goes next and charges its team.
-  std::optional<TaskRef> Pop();
+  /// The task that goes next, without taking it; with `urgent_only` the next
+  /// of the urgent class.
+  std::optional<TaskRef> Peek(bool urgent_only = false) const;
+  /// Takes the task that Peek() gives and charges its team.
+  std::optional<TaskRef> Pop(bool urgent_only = false);
 
   /// Waiting tasks.
   uint64_t size() const { return size_; }
--- a/filbertwick/core/policy/placement_index.cc
+++ b/filbertwick/core/policy/placement_index.cc
@@ -69,6 +69,10 @@
   return Duration(std::llround(WaitMicros(entries_[*best].place)));
 }
 
+bool PlacementIndex::HasFreeSlot(UpstreamId upstream) const {
+  return FreeSlots(entries_[upstream].place) > 0;
+}
+
 void PlacementIndex::Hash(Hasher& hasher) const {
   hasher.Add(changes_);
   for (const Key& key : order_) {
--- a/filbertwick/core/policy/placement_index.h
+++ b/filbertwick/core/policy/placement_index.h
@@ -51,6 +51,9 @@
   /// a place.
   std::optional<Duration> BestWait() const;
 
+  /// Whether the upstream has a slot free; it must be known.
+  bool HasFreeSlot(UpstreamId upstream) const;
+
   /// Sum of the slots of all upstreams.
   uint64_t slots() const { return slots_; }
   /// Sum of the free slots of all upstreams.
--- a/filbertwick/core/policy/policy_settings.h
+++ b/filbertwick/core/policy/policy_settings.h
@@ -26,6 +26,9 @@
   uint32_t bulk_every = 10;
 };
 
+/// Which tasks may wait at a sidecar beyond the free slots known of.
+enum class QueueUse : uint8_t { kNone, kUrgent, kAll };
+
 /// Choice of the upstream for a task.
 struct PlacementSettings {
   /// Waits that differ by less count as equal.
@@ -34,6 +37,8 @@
   bool prefer_own_zone = true;
   /// Chance that another entry has taken one free slot unseen.
   double unseen_share = 0.05;
+  /// Tasks that may take waiting places at sidecars.
+  QueueUse queue_use = QueueUse::kUrgent;
   /// Measured run times of single upstreams count.
   bool use_run_time = true;
   /// An upstream whose tasks run this many times longer than usual is slow.
