Reserve a tenth of the slots in equal parts for the entries

Cause: while one entry works through a long job, another hears of the freed slots only from reports every 125 ms and its short jobs wait in the queues of sidecars. Change: at some upstreams one slot is kept for one entry each, dealt out in order of names so that all agree without a message. The others never use it, so its owner knows for sure whether it is free. SetSharing() tells the dispatcher how many entries there are and which one it is.

--- a/bench/policy/entry_policy.cc
+++ b/bench/policy/entry_policy.cc
@@ -279,6 +279,8 @@
        [](PolicySettings& it) {
          it.placement.queue_use = core::policy::QueueUse::kNone;
        }},
+      {"ours-no-reserve",
+       [](PolicySettings& it) { it.sharing.reserved_share = 0; }},
       {"ours-no-unseen",
        [](PolicySettings& it) { it.placement.unseen_share = 0; }},
   };
@@ -311,6 +313,7 @@
   PolicySettings settings;
   settings.own_zone = NameOfZone(entry % deployment.zones);
   settings.sharing_entries = deployment.entries;
+  settings.entry_number = entry;
   own->change(settings);
   return std::make_unique<DispatcherPolicy>(settings, deployment, entry, seed);
 }
--- a/filbertwick/core/policy/dispatcher.cc
+++ b/filbertwick/core/policy/dispatcher.cc
@@ -46,6 +46,9 @@
   bool known = false;
 };
 
+/// Whom one slot of an upstream is kept for.
+enum class Reserved : uint8_t { kForNobody, kForSelf, kForOther };
+
 struct Upstream {
   UpstreamInfo info;
   ServiceId service = 0;
@@ -56,6 +59,7 @@
   uint32_t started = 0;
   /// Tasks of others there, as last reported.
   uint32_t others = 0;
+  Reserved reserved = Reserved::kForNobody;
   /// When own tasks that have not started were placed.
   std::multiset<Instant> unstarted;
 };
@@ -101,6 +105,12 @@
     RefreshAll();
   }
 
+  void SetSharing(uint32_t entries, uint32_t number) {
+    settings_.sharing_entries = std::max(entries, 1U);
+    settings_.entry_number = number;
+    reservations_due_ = true;
+  }
+
   void SetZoneOut(const ZoneName& zone, bool out, Instant /*now*/) {
     if (out) {
       zones_out_.insert(zone);
@@ -119,6 +129,7 @@
     upstream.info = info;
     upstream.service = ServiceOf(info.service);
     upstream.present = true;
+    reservations_due_ = true;
     Refresh(id);
   }
 
@@ -131,6 +142,7 @@
     upstream.present = false;
     upstream.load.reset();
     upstream.others = 0;
+    reservations_due_ = true;
     Refresh(it->second);
   }
 
@@ -255,6 +267,9 @@
   }
 
   std::optional<Placement> Next(Instant now) {
+    if (reservations_due_) {
+      ReserveSlots();
+    }
     if (ready_.empty()) {
       return std::nullopt;
     }
@@ -436,13 +451,19 @@
       Ready(upstream.service);
       return;
     }
-    const uint32_t slots =
-        upstream.load ? std::min(upstream.load->slots, service.spec.slots)
-                      : service.spec.slots;
+    uint32_t slots = upstream.load
+                         ? std::min(upstream.load->slots, service.spec.slots)
+                         : service.spec.slots;
+    uint32_t others = upstream.others;
+    if (upstream.reserved == Reserved::kForOther && slots > 1) {
+      --slots;
+    } else if (upstream.reserved == Reserved::kForSelf) {
+      others = std::min(others, slots - 1);
+    }
     service.index.Set(id, {.distance = upstream.info.distance,
                            .own_zone = upstream.info.zone == settings_.own_zone,
                            .slots = slots,
-                           .busy = upstream.placed + upstream.others,
+                           .busy = upstream.placed + others,
                            .limit = slots + QueuePlaces(service),
                            .run_time = service.run_time.mean(),
                            .usual_run_time = service.run_time.mean()});
@@ -454,6 +475,38 @@
     return none ? 0 : service.spec.queue;
   }
 
+  /// Deals the reserved slots out: at most one an upstream, spread evenly in
+  /// order of names, so that all entries agree.
+  void ReserveSlots() {
+    reservations_due_ = false;
+    std::vector<double> due(services_.size());
+    std::vector<uint32_t> dealt(services_.size());
+    for (const auto& [name, id] : upstream_ids_) {
+      Upstream& upstream = upstreams_[id];
+      if (!upstream.present) {
+        continue;
+      }
+      Reserved reserved = Reserved::kForNobody;
+      double& share = due[upstream.service];
+      share += ReservedShare() * services_[upstream.service]->spec.slots;
+      if (share >= 1.0) {
+        share = std::min(share - 1.0, 1.0);
+        const uint32_t owner =
+            dealt[upstream.service]++ % settings_.sharing_entries;
+        reserved = owner == settings_.entry_number ? Reserved::kForSelf
+                                                   : Reserved::kForOther;
+      }
+      if (std::exchange(upstream.reserved, reserved) != reserved) {
+        Refresh(id);
+      }
+    }
+  }
+
+  double ReservedShare() const {
+    return settings_.sharing_entries > 1 ? settings_.sharing.reserved_share
+                                         : 0.0;
+  }
+
   void RefreshAll() {
     for (UpstreamId id = 0; id < upstreams_.size(); ++id) {
       Refresh(id);
@@ -490,6 +543,7 @@
   /// Services with a waiting task and a place.
   std::set<ServiceId> ready_;
   ServiceId next_service_ = 0;
+  bool reservations_due_ = false;
   uint64_t waiting_ = 0;
 };
 
@@ -507,6 +561,10 @@
   impl_->SetBundle(bundle);
 }
 
+void Dispatcher::SetSharing(uint32_t entries, uint32_t number) {
+  impl_->SetSharing(entries, number);
+}
+
 void Dispatcher::SetZoneOut(const ZoneName& zone, bool out, Instant now) {
   impl_->SetZoneOut(zone, out, now);
 }
--- a/filbertwick/core/policy/dispatcher.h
+++ b/filbertwick/core/policy/dispatcher.h
@@ -79,6 +79,8 @@
 
   /// Replaces services, teams and quotas; waiting tasks keep their places.
   void SetBundle(const bundle::Bundle& bundle);
+  /// Says how many entries share the upstreams and which one, from 0, this is.
+  void SetSharing(uint32_t entries, uint32_t number);
   /// Stops placement into a zone at once, or ramps it up again from `now`.
   void SetZoneOut(const ZoneName& zone, bool out, Instant now);
 
--- a/filbertwick/core/policy/policy_settings.h
+++ b/filbertwick/core/policy/policy_settings.h
@@ -45,6 +45,13 @@
   double slow_ratio = 1.5;
 };
 
+/// Sharing of upstreams between entries.
+struct SharingSettings {
+  /// Share of all slots that is reserved, in equal parts for each entry, so
+  /// that one entry's long job does not keep another's short one waiting.
+  double reserved_share = 0.1;
+};
+
 /// Tunables of the policy; each mechanism can be switched off to measure it.
 struct PolicySettings {
   /// Zone of the entry itself, preferred while waits are equal.
@@ -53,11 +60,14 @@
   uint64_t max_waiting_tasks = 200'000;
   /// Entries that share the upstreams of a service, this one included.
   uint32_t sharing_entries = 1;
+  /// Number of this entry among them, from 0; each has another.
+  uint32_t entry_number = 0;
   /// A job of an urgent service is urgent itself when its caller waits at most
   /// this long; else it counts as bulk.
   Duration urgent_deadline = std::chrono::seconds(15);
   QueueSettings queue;
   PlacementSettings placement;
+  SharingSettings sharing;
 };
 
 }  // namespace filbertwick::core::policy
