Split the dispatcher by service; add ejection, budgets, admission, slow start

Each mechanism is a class of its own that stands alone: Ejector (cumulative log-likelihood of failing against the other upstreams, capped share, probes with doubling backoff), RetryBudget, AdmissionControl (deadline-aware), RunTimeEstimator, FairQueue, PlacementIndex. ServiceScheduler joins them for one service; Dispatcher finds the service and keeps teams, zones and turns. New upstreams and those of a zone that came back start with one task.

--- a/bench/policy/entry_policy.cc
+++ b/bench/policy/entry_policy.cc
@@ -281,6 +281,13 @@
        }},
       {"ours-no-reserve",
        [](PolicySettings& it) { it.sharing.reserved_share = 0; }},
+      {"ours-no-ejection",
+       [](PolicySettings& it) { it.ejection.enabled = false; }},
+      {"ours-no-deadline",
+       [](PolicySettings& it) { it.admission.use_deadline = false; }},
+      {"ours-no-withdrawal",
+       [](PolicySettings& it) { it.withdrawal.enabled = false; }},
+      {"ours-no-slow-start", [](PolicySettings& it) { it.slow_start = false; }},
       {"ours-no-unseen",
        [](PolicySettings& it) { it.placement.unseen_share = 0; }},
   };
--- a/bench/policy/executor.cc
+++ b/bench/policy/executor.cc
@@ -67,6 +67,11 @@
   Flush();
 }
 
+void Executor::Break(bool fails, bool hangs) {
+  behaviour_.fails = fails;
+  behaviour_.hangs = hangs;
+}
+
 wire::Load Executor::load() const {
   return {.slots = behaviour_.slots,
           .running = static_cast<uint32_t>(running_.size()),
--- a/bench/policy/executor.h
+++ b/bench/policy/executor.h
@@ -62,6 +62,9 @@
   /// again.
   void SetZoneOut(bool out);
 
+  /// From now on it fails all it starts, or ends nothing that it starts.
+  void Break(bool fails, bool hangs);
+
   /// The present load.
   wire::Load load() const;
   /// Tasks started.
--- a/bench/policy/fleet.cc
+++ b/bench/policy/fleet.cc
@@ -110,8 +110,6 @@
         .slots = deployment_.slots};
     if (number == kFaulty) {
       behaviour.speed = fault_ == Fault::kSlow ? 0.1 : 1.0;
-      behaviour.fails = fault_ == Fault::kFail;
-      behaviour.hangs = fault_ == Fault::kHang;
     }
     executors_.push_back(std::make_unique<Executor>(
         loop_, behaviour,
@@ -185,6 +183,13 @@
       loop_.Post(kFaultStart, [this] { SetZoneOut(true); });
       loop_.Post(kFaultEnd, [this] { SetZoneOut(false); });
     }
+    const bool fails = fault_ == Fault::kFail;
+    const bool hangs = fault_ == Fault::kHang;
+    if (fails || hangs) {
+      loop_.Post(kFaultStart, [this, fails, hangs] {
+        executors_[kFaulty]->Break(fails, hangs);
+      });
+    }
     if (fault_ == Fault::kEntryLost) {
       loop_.Post(kFaultStart, [this] { LoseEntry(); });
     }
--- a/bench/policy/ideal.cc
+++ b/bench/policy/ideal.cc
@@ -42,11 +42,12 @@
   };
 
   void PostFault() {
-    const bool one_broken = fault_ == Fault::kSlow || fault_ == Fault::kFail ||
-                            fault_ == Fault::kHang;
-    if (one_broken) {
+    if (fault_ == Fault::kSlow) {
       free_ -= deployment_.slots;
     }
+    if (fault_ == Fault::kFail || fault_ == Fault::kHang) {
+      loop_.Post(kFaultStart, [this] { free_ -= deployment_.slots; });
+    }
     if (fault_ == Fault::kZone) {
       const uint32_t out =
           (deployment_.executors + deployment_.zones - 1) / deployment_.zones;
--- a/filbertwick/core/policy/dispatcher.cc
+++ b/filbertwick/core/policy/dispatcher.cc
@@ -1,332 +1,228 @@
 #include "filbertwick/core/policy/dispatcher.h"
 
 #include <algorithm>
-#include <cassert>
 #include <map>
 #include <set>
 #include <unordered_map>
 #include <utility>
 
-#include "filbertwick/core/policy/fair_queue.h"
-#include "filbertwick/core/policy/placement_index.h"
-#include "filbertwick/core/policy/run_time_estimator.h"
+#include "filbertwick/core/policy/service_scheduler.h"
 
 namespace filbertwick::core::policy {
 namespace {
 
-/// Run time assumed of a service nothing was measured of.
-constexpr Duration kUnknownRunTime = std::chrono::milliseconds(300);
-/// Shortest and longest advice when to try a refused job again.
-constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(50);
-constexpr Duration kLongestRetryAfter = std::chrono::seconds(30);
-
 using ServiceId = uint32_t;
 
-/// What is known of a task.
-enum class Phase : uint8_t { kIdle, kWaiting, kPlaced, kStarted, kEnded };
-
-struct Task {
-  Phase phase = Phase::kIdle;
-  UpstreamId upstream = 0;
-  Instant placed;
-};
-
 struct Job {
   ServiceId service = 0;
   TeamId team = 0;
-  /// Tasks that have not ended.
-  uint32_t unfinished = 0;
-  std::vector<Task> tasks;
 };
 
 struct Team {
+  bool known = false;
+  uint32_t weight = 1;
   uint32_t quota = 0;
   /// Tasks of registered jobs that have not ended.
   uint64_t unfinished = 0;
-  bool known = false;
-};
-
-/// Whom one slot of an upstream is kept for.
-enum class Reserved : uint8_t { kForNobody, kForSelf, kForOther };
-
-struct Upstream {
-  UpstreamInfo info;
-  ServiceId service = 0;
-  bool present = false;
-  std::optional<wire::Load> load;
-  /// Own tasks there or on the way.
-  uint32_t placed = 0;
-  uint32_t started = 0;
-  /// Tasks of others there, as last reported.
-  uint32_t others = 0;
-  Reserved reserved = Reserved::kForNobody;
-  /// When own tasks that have not started were placed.
-  std::multiset<Instant> unstarted;
-};
-
-struct Service {
-  Service(const PolicySettings& settings, uint64_t seed)
-      : queue(settings.queue), index(settings.placement, seed) {}
-
-  bundle::Service spec;
-  bool known = false;
-  FairQueue queue;
-  PlacementIndex index;
-  RunTimeEstimator run_time{kUnknownRunTime};
 };
 
 }  // namespace
 
+/// Finds the service of each call and keeps what services share: teams, zones
+/// and the turns that services take.
 class Dispatcher::Impl {
  public:
   Impl(const PolicySettings& settings, uint64_t seed)
-      : settings_(settings), seed_(seed) {}
+      : settings_(settings), seed_(seed), admission_(settings.admission) {}
 
   void SetBundle(const bundle::Bundle& bundle) {
-    for (const auto& service : services_) {
-      service->known = false;
-    }
-    for (const bundle::Service& spec : bundle.services) {
-      Service& service = *services_[ServiceOf(spec.name)];
-      service.spec = spec;
-      service.known = true;
-    }
     for (Team& team : teams_) {
       team.known = false;
     }
     for (const bundle::Team& spec : bundle.teams) {
       const TeamId id = TeamOf(spec.name);
       teams_[id].known = true;
+      teams_[id].weight = spec.weight;
       teams_[id].quota = spec.quota;
-      for (const auto& service : services_) {
-        service->queue.SetWeight(id, spec.weight);
+    }
+    for (const bundle::Service& spec : bundle.services) {
+      ServiceOf(spec.name);
+    }
+    for (const auto& [name, id] : service_ids_) {
+      services_[id]->SetSpec(bundle.FindService(name));
+      for (TeamId team = 0; team < teams_.size(); ++team) {
+        services_[id]->SetWeight(team, teams_[team].weight);
       }
+      Note(id);
     }
-    RefreshAll();
   }
 
   void SetSharing(uint32_t entries, uint32_t number) {
     settings_.sharing_entries = std::max(entries, 1U);
     settings_.entry_number = number;
-    reservations_due_ = true;
+    for (ServiceId id = 0; id < services_.size(); ++id) {
+      services_[id]->SetSharing(entries, number);
+      Note(id);
+    }
   }
 
-  void SetZoneOut(const ZoneName& zone, bool out, Instant /*now*/) {
+  void SetZoneOut(const ZoneName& zone, bool out) {
     if (out) {
       zones_out_.insert(zone);
     } else {
       zones_out_.erase(zone);
     }
-    RefreshAll();
+    for (ServiceId id = 0; id < services_.size(); ++id) {
+      services_[id]->SetZoneOut(zone, out);
+      Note(id);
+    }
   }
 
-  void UpsertUpstream(const UpstreamInfo& info, Instant /*now*/) {
-    const UpstreamId id = UpstreamOf(info.name);
-    Upstream& upstream = upstreams_[id];
-    if (upstream.present && upstream.info.service != info.service) {
-      services_[upstream.service]->index.Remove(id);
+  void UpsertUpstream(const UpstreamInfo& info) {
+    const ServiceId id = ServiceOf(info.service);
+    const auto [it, added] = upstream_services_.try_emplace(info.name, id);
+    if (!added && it->second != id) {
+      services_[it->second]->RemoveUpstream(info.name);
+      Note(it->second);
+      it->second = id;
     }
-    upstream.info = info;
-    upstream.service = ServiceOf(info.service);
-    upstream.present = true;
-    reservations_due_ = true;
-    Refresh(id);
+    services_[id]->UpsertUpstream(info);
+    Note(id);
   }
 
   void RemoveUpstream(const InstanceName& name) {
-    const auto it = upstream_ids_.find(name);
-    if (it == upstream_ids_.end()) {
-      return;
+    const auto it = upstream_services_.find(name);
+    if (it != upstream_services_.end()) {
+      services_[it->second]->RemoveUpstream(name);
+      Note(it->second);
+      upstream_services_.erase(it);
     }
-    Upstream& upstream = upstreams_[it->second];
-    upstream.present = false;
-    upstream.load.reset();
-    upstream.others = 0;
-    reservations_due_ = true;
-    Refresh(it->second);
   }
 
   void UpdateLoad(const InstanceName& name,
                   const wire::Load& load,
                   Instant now) {
-    const auto it = upstream_ids_.find(name);
-    if (it == upstream_ids_.end()) {
-      return;
+    const auto it = upstream_services_.find(name);
+    if (it != upstream_services_.end()) {
+      services_[it->second]->UpdateLoad(name, load, now);
+      Note(it->second);
     }
-    Upstream& upstream = upstreams_[it->second];
-    upstream.load = load;
-    // Own tasks count as seen by the report when their offer had the time to
-    // arrive and the report the time to come back.
-    const Instant sent = now - 2 * upstream.info.distance;
-    const auto seen = static_cast<uint32_t>(std::distance(
-        upstream.unstarted.begin(), upstream.unstarted.upper_bound(sent)));
-    const uint32_t own = std::min(seen, load.queued) + upstream.started;
-    const uint32_t total = load.running + load.queued;
-    upstream.others = total - std::min(total, own);
-    Refresh(it->second);
   }
 
-  Admission Admit(const JobShape& shape, Instant /*now*/) const {
+  Admission Admit(const JobShape& shape) const {
     const auto service_it = service_ids_.find(shape.service);
     if (service_it == service_ids_.end() ||
-        !services_[service_it->second]->known) {
+        !services_[service_it->second]->known()) {
       return {wire::Reason::kUnknownService};
     }
     const auto team_it = team_ids_.find(shape.team);
     if (team_it == team_ids_.end() || !teams_[team_it->second].known) {
       return {wire::Reason::kUnknownTeam};
     }
-    const Service& service = *services_[service_it->second];
-    if (service.index.slots() == 0) {
-      return {wire::Reason::kNoUpstream, RetryAfter(service)};
-    }
+    const ServiceScheduler& service = *services_[service_it->second];
     const Team& team = teams_[team_it->second];
-    if (team.unfinished + shape.tasks > QuotaShare(team, shape)) {
-      return {wire::Reason::kOverQuota, RetryAfter(service)};
-    }
-    if (waiting_ + shape.tasks > settings_.max_waiting_tasks) {
-      return {wire::Reason::kOverloaded, RetryAfter(service)};
-    }
-    return {};
+    return admission_.Decide(
+        shape.tasks, shape.deadline,
+        {.slots = service.SlotShare(),
+         .work_ahead = service.WorkAhead(ClassOf(service, shape), shape.tasks),
+         .task_run_time = service.run_time(),
+         .waiting = waiting(),
+         .waiting_limit = settings_.max_waiting_tasks,
+         .team_unfinished = team.unfinished,
+         .team_quota = QuotaShare(team, shape)});
   }
 
   void AddJob(JobHandle handle, const JobShape& shape, Instant now) {
-    Job job;
-    job.service = ServiceOf(shape.service);
-    job.team = TeamOf(shape.team);
-    job.unfinished = shape.tasks;
-    job.tasks.resize(shape.tasks);
+    const Job job{ServiceOf(shape.service), TeamOf(shape.team)};
+    jobs_.emplace(handle, job);
     teams_[job.team].unfinished += shape.tasks;
-    Service& service = *services_[job.service];
-    const bool urgent =
-        service.spec.deadline_class == bundle::DeadlineClass::kUrgent &&
-        shape.deadline <= settings_.urgent_deadline;
-    service.queue.AddJob(
-        handle, {.team = job.team,
-                 .deadline_class = urgent ? bundle::DeadlineClass::kUrgent
-                                          : bundle::DeadlineClass::kBulk,
-                 .task_run_time = service.run_time.mean(),
-                 .unfinished = shape.tasks,
-                 .arrival = now});
-    const bool added = jobs_.try_emplace(handle, std::move(job)).second;
-    assert(added);
+    ServiceScheduler& service = *services_[job.service];
+    service.AddJob(handle, job.team, ClassOf(service, shape), shape.tasks, now);
   }
 
-  void AddTask(const TaskRef& ref, Instant /*now*/) {
-    Job& job = jobs_.at(ref.job);
-    Task& task = job.tasks.at(ref.index);
-    if (task.phase == Phase::kWaiting) {
-      return;
-    }
-    assert(task.phase == Phase::kIdle || task.phase == Phase::kEnded);
-    const bool again = task.placed != Instant();
-    if (task.phase == Phase::kEnded) {
-      ChangeUnfinished(ref.job, job, 1);
-    }
-    task.phase = Phase::kWaiting;
-    ++waiting_;
-    Service& service = *services_[job.service];
-    service.queue.AddTask(ref, again);
-    Ready(job.service);
+  void AddTask(const TaskRef& task) {
+    Change(task.job, [&](ServiceScheduler& service) { service.AddTask(task); });
   }
 
-  void RemoveTask(const TaskRef& ref) {
-    const auto it = jobs_.find(ref.job);
-    if (it == jobs_.end() || ref.index >= it->second.tasks.size()) {
-      return;
-    }
-    Task& task = it->second.tasks[ref.index];
-    if (task.phase != Phase::kWaiting) {
-      return;
-    }
-    task.phase = Phase::kIdle;
-    --waiting_;
-    services_[it->second.service]->queue.RemoveTask(ref);
-    Ready(it->second.service);
+  void RemoveTask(const TaskRef& task) {
+    Change(task.job,
+           [&](ServiceScheduler& service) { service.RemoveTask(task); });
   }
 
   void RemoveJob(JobHandle handle) {
-    const auto it = jobs_.find(handle);
-    if (it == jobs_.end()) {
-      return;
-    }
-    Job& job = it->second;
-    // Placed tasks that nobody will report free their places here.
-    for (Task& task : job.tasks) {
-      if (task.phase == Phase::kWaiting) {
-        --waiting_;
-      } else if (task.phase == Phase::kPlaced ||
-                 task.phase == Phase::kStarted) {
-        LeaveUpstream(task);
-      }
-    }
-    teams_[job.team].unfinished -= job.unfinished;
-    services_[job.service]->queue.RemoveJob(handle);
-    Ready(job.service);
-    jobs_.erase(it);
+    Change(handle,
+           [&](ServiceScheduler& service) { service.RemoveJob(handle); });
+    jobs_.erase(handle);
   }
 
   std::optional<Placement> Next(Instant now) {
-    if (reservations_due_) {
-      ReserveSlots();
-    }
-    if (ready_.empty()) {
-      return std::nullopt;
+    while (!timers_.empty() && timers_.begin()->first <= now) {
+      const ServiceId id = timers_.begin()->second;
+      services_[id]->Advance(now);
+      Note(id);
     }
     // Services take turns, so that none keeps the others waiting.
-    auto it = ready_.lower_bound(next_service_);
-    if (it == ready_.end()) {
-      it = ready_.begin();
+    while (!ready_.empty()) {
+      auto it = ready_.lower_bound(next_service_);
+      it = it == ready_.end() ? ready_.begin() : it;
+      const ServiceId id = *it;
+      next_service_ = id + 1;
+      const std::optional<Placement> placement = services_[id]->Next(now);
+      Note(id);
+      if (placement) {
+        return placement;
+      }
     }
-    const ServiceId id = *it;
-    next_service_ = id + 1;
-    Service& service = *services_[id];
-    const UpstreamId upstream = *service.index.Best();
-    const TaskRef ref = *service.queue.Pop(UrgentOnly(service, upstream));
-    Task& task = jobs_.at(ref.job).tasks[ref.index];
-    task.phase = Phase::kPlaced;
-    task.upstream = upstream;
-    task.placed = now;
-    --waiting_;
-    ++upstreams_[upstream].placed;
-    upstreams_[upstream].unstarted.insert(now);
-    Refresh(upstream);
-    return Placement{ref, upstreams_[upstream].info.name};
+    return std::nullopt;
   }
 
-  Instant NextChange(Instant /*now*/) const { return Instant::max(); }
-
-  void OnStarted(const TaskRef& ref, Instant /*now*/) {
-    Task* task = FindTask(ref);
-    if (task == nullptr || task->phase != Phase::kPlaced) {
-      return;
+  Instant NextChange(Instant now) const {
+    Instant next = Instant::max();
+    for (const auto& service : services_) {
+      next = std::min(next, service->NextChange(now));
     }
-    task->phase = Phase::kStarted;
-    Upstream& upstream = upstreams_[task->upstream];
-    ++upstream.started;
-    upstream.unstarted.erase(upstream.unstarted.find(task->placed));
+    return next;
+  }
+
+  void OnStarted(const TaskRef& task) {
+    Change(task.job,
+           [&](ServiceScheduler& service) { service.OnStarted(task); });
   }
 
-  void OnEnded(const TaskRef& ref,
+  void OnEnded(const TaskRef& task,
                TaskEnd end,
                Duration run_time,
-               Instant /*now*/) {
-    Task* task = FindTask(ref);
-    if (task == nullptr ||
-        (task->phase != Phase::kPlaced && task->phase != Phase::kStarted)) {
-      return;
-    }
-    Job& job = jobs_.at(ref.job);
-    LeaveUpstream(*task);
-    if (end == TaskEnd::kNotStarted) {
-      task->phase = Phase::kIdle;
-      return;
+               Instant now) {
+    Change(task.job, [&](ServiceScheduler& service) {
+      service.OnEnded(task, end, run_time, now);
+    });
+  }
+
+  bool TakeRetry(const ServiceName& name) {
+    const auto it = service_ids_.find(name);
+    return it != service_ids_.end() && services_[it->second]->TakeRetry();
+  }
+
+  std::vector<TaskRef> TakeWithdrawals(Instant now) {
+    std::vector<TaskRef> tasks;
+    for (const auto& service : services_) {
+      service->TakeWithdrawals(now, tasks);
     }
-    task->phase = Phase::kEnded;
-    ChangeUnfinished(ref.job, job, -1);
-    if (end == TaskEnd::kSucceeded) {
-      services_[job.service]->run_time.Add(run_time);
+    return tasks;
+  }
+
+  std::vector<EjectionChange> TakeEjections() {
+    std::vector<EjectionChange> changes;
+    for (const auto& service : services_) {
+      service->TakeEjections(changes);
     }
+    return changes;
+  }
+
+  bool IsEjected(const InstanceName& name) const {
+    const auto it = upstream_services_.find(name);
+    return it != upstream_services_.end() &&
+           services_[it->second]->IsEjected(name);
   }
 
   uint64_t waiting() const { return waiting_; }
@@ -337,17 +233,7 @@
     hasher.Add(waiting_);
     hasher.Add(next_service_);
     for (const auto& service : services_) {
-      hasher.Add(service->spec.name.value());
-      service->queue.Hash(hasher);
-      service->index.Hash(hasher);
-      service->run_time.Hash(hasher);
-    }
-    for (const Upstream& upstream : upstreams_) {
-      hasher.Add(upstream.info.name.value());
-      hasher.Add(upstream.present ? 1 : 0);
-      hasher.Add(upstream.placed);
-      hasher.Add(upstream.started);
-      hasher.Add(upstream.others);
+      service->Hash(hasher);
     }
     for (const Team& team : teams_) {
       hasher.Add(team.unfinished);
@@ -359,10 +245,19 @@
   ServiceId ServiceOf(const ServiceName& name) {
     const auto [it, added] = service_ids_.try_emplace(
         name, static_cast<ServiceId>(services_.size()));
-    if (added) {
-      services_.push_back(
-          std::make_unique<Service>(settings_, Hash64(name.value(), seed_)));
-      services_.back()->spec.name = name;
+    if (!added) {
+      return it->second;
+    }
+    services_.push_back(std::make_unique<ServiceScheduler>(
+        settings_, Hash64(name.value(), seed_)));
+    timer_of_.push_back(Instant::max());
+    waiting_of_.push_back(0);
+    ServiceScheduler& service = *services_.back();
+    for (const ZoneName& zone : zones_out_) {
+      service.SetZoneOut(zone, true);
+    }
+    for (TeamId team = 0; team < teams_.size(); ++team) {
+      service.SetWeight(team, teams_[team].weight);
     }
     return it->second;
   }
@@ -376,174 +271,76 @@
     return it->second;
   }
 
-  UpstreamId UpstreamOf(const InstanceName& name) {
-    const auto [it, added] = upstream_ids_.try_emplace(
-        name, static_cast<UpstreamId>(upstreams_.size()));
-    if (added) {
-      upstreams_.emplace_back();
+  /// Does something with a job's service and keeps the sums; nothing for an
+  /// unknown job.
+  template <typename Action>
+  void Change(JobHandle handle, const Action& action) {
+    const auto it = jobs_.find(handle);
+    if (it == jobs_.end()) {
+      return;
     }
-    return it->second;
+    ServiceScheduler& service = *services_[it->second.service];
+    Team& team = teams_[it->second.team];
+    team.unfinished -= service.Unfinished(handle);
+    action(service);
+    team.unfinished += service.Unfinished(handle);
+    Note(it->second.service);
   }
 
-  Task* FindTask(const TaskRef& ref) {
-    const auto it = jobs_.find(ref.job);
-    if (it == jobs_.end() || ref.index >= it->second.tasks.size()) {
-      return nullptr;
+  /// Notes after a change whether a service can place, what waits there and
+  /// when time alone changes it.
+  void Note(ServiceId id) {
+    const ServiceScheduler& service = *services_[id];
+    if (service.HasPlacement()) {
+      ready_.insert(id);
+    } else {
+      ready_.erase(id);
+    }
+    waiting_ +=
+        service.waiting() - std::exchange(waiting_of_[id], service.waiting());
+    const Instant timer = service.NextAdvance();
+    timers_.erase({timer_of_[id], id});
+    timer_of_[id] = timer;
+    if (timer != Instant::max()) {
+      timers_.emplace(timer, id);
     }
-    return &it->second.tasks[ref.index];
   }
 
-  void ChangeUnfinished(JobHandle handle, Job& job, int32_t change) {
-    job.unfinished += change;
-    teams_[job.team].unfinished += change;
-    services_[job.service]->queue.SetUnfinished(handle, job.unfinished);
+  bundle::DeadlineClass ClassOf(const ServiceScheduler& service,
+                                const JobShape& shape) const {
+    const bool urgent =
+        service.spec().deadline_class == bundle::DeadlineClass::kUrgent &&
+        shape.deadline <= settings_.urgent_deadline;
+    return urgent ? bundle::DeadlineClass::kUrgent
+                  : bundle::DeadlineClass::kBulk;
   }
 
   /// Most unfinished tasks that the team may have at this entry.
   uint64_t QuotaShare(const Team& team, const JobShape& shape) const {
-    const uint64_t entries = std::max(settings_.sharing_entries, 1U);
+    const uint64_t entries = settings_.sharing_entries;
     const uint64_t share = (team.quota + entries - 1) / entries;
     // A job within the quota may pass while the team has nothing else here.
     const bool alone = team.unfinished == 0 && shape.tasks <= team.quota;
     return alone ? std::max<uint64_t>(share, shape.tasks) : share;
   }
 
-  /// Expected time until the work that waits now is placed.
-  Duration RetryAfter(const Service& service) const {
-    const auto slots =
-        static_cast<double>(std::max<uint64_t>(service.index.slots(), 1));
-    const double wait =
-        service.queue.work_ahead(bundle::DeadlineClass::kBulk) / slots;
-    return std::clamp(Duration(static_cast<int64_t>(wait)), kShortestRetryAfter,
-                      kLongestRetryAfter);
-  }
-
-  void LeaveUpstream(const Task& task) {
-    Upstream& upstream = upstreams_[task.upstream];
-    --upstream.placed;
-    if (task.phase == Phase::kStarted) {
-      --upstream.started;
-    } else {
-      upstream.unstarted.erase(upstream.unstarted.find(task.placed));
-    }
-    Refresh(task.upstream);
-  }
-
-  bool IsOpen(const Upstream& upstream) const {
-    const Service& service = *services_[upstream.service];
-    const bundle::Service& spec = service.spec;
-    const bool named = spec.upstreams.empty() ||
-                       std::ranges::find(spec.upstreams, upstream.info.name) !=
-                           spec.upstreams.end();
-    const bool zone =
-        std::ranges::find(spec.zones, upstream.info.zone) != spec.zones.end() &&
-        !zones_out_.contains(upstream.info.zone);
-    const bool slots = !upstream.load || upstream.load->slots > 0;
-    return upstream.present && service.known && named && zone && slots;
-  }
-
-  /// Brings the upstream's place in its index up to date.
-  void Refresh(UpstreamId id) {
-    const Upstream& upstream = upstreams_[id];
-    Service& service = *services_[upstream.service];
-    if (!IsOpen(upstream)) {
-      service.index.Remove(id);
-      Ready(upstream.service);
-      return;
-    }
-    uint32_t slots = upstream.load
-                         ? std::min(upstream.load->slots, service.spec.slots)
-                         : service.spec.slots;
-    uint32_t others = upstream.others;
-    if (upstream.reserved == Reserved::kForOther && slots > 1) {
-      --slots;
-    } else if (upstream.reserved == Reserved::kForSelf) {
-      others = std::min(others, slots - 1);
-    }
-    service.index.Set(id, {.distance = upstream.info.distance,
-                           .own_zone = upstream.info.zone == settings_.own_zone,
-                           .slots = slots,
-                           .busy = upstream.placed + others,
-                           .limit = slots + QueuePlaces(service),
-                           .run_time = service.run_time.mean(),
-                           .usual_run_time = service.run_time.mean()});
-    Ready(upstream.service);
-  }
-
-  uint32_t QueuePlaces(const Service& service) const {
-    const bool none = settings_.placement.queue_use == QueueUse::kNone;
-    return none ? 0 : service.spec.queue;
-  }
-
-  /// Deals the reserved slots out: at most one an upstream, spread evenly in
-  /// order of names, so that all entries agree.
-  void ReserveSlots() {
-    reservations_due_ = false;
-    std::vector<double> due(services_.size());
-    std::vector<uint32_t> dealt(services_.size());
-    for (const auto& [name, id] : upstream_ids_) {
-      Upstream& upstream = upstreams_[id];
-      if (!upstream.present) {
-        continue;
-      }
-      Reserved reserved = Reserved::kForNobody;
-      double& share = due[upstream.service];
-      share += ReservedShare() * services_[upstream.service]->spec.slots;
-      if (share >= 1.0) {
-        share = std::min(share - 1.0, 1.0);
-        const uint32_t owner =
-            dealt[upstream.service]++ % settings_.sharing_entries;
-        reserved = owner == settings_.entry_number ? Reserved::kForSelf
-                                                   : Reserved::kForOther;
-      }
-      if (std::exchange(upstream.reserved, reserved) != reserved) {
-        Refresh(id);
-      }
-    }
-  }
-
-  double ReservedShare() const {
-    return settings_.sharing_entries > 1 ? settings_.sharing.reserved_share
-                                         : 0.0;
-  }
-
-  void RefreshAll() {
-    for (UpstreamId id = 0; id < upstreams_.size(); ++id) {
-      Refresh(id);
-    }
-  }
-
-  /// Notes whether the service has both a waiting task and a place.
-  void Ready(ServiceId id) {
-    const Service& service = *services_[id];
-    const std::optional<UpstreamId> best = service.index.Best();
-    if (best && service.queue.Peek(UrgentOnly(service, *best))) {
-      ready_.insert(id);
-    } else {
-      ready_.erase(id);
-    }
-  }
-
-  /// Whether only urgent tasks may take the next place at the upstream.
-  bool UrgentOnly(const Service& service, UpstreamId upstream) const {
-    return settings_.placement.queue_use != QueueUse::kAll &&
-           !service.index.HasFreeSlot(upstream);
-  }
-
   PolicySettings settings_;
   uint64_t seed_;
+  AdmissionControl admission_;
   std::map<ServiceName, ServiceId> service_ids_;
-  std::vector<std::unique_ptr<Service>> services_;
+  std::vector<std::unique_ptr<ServiceScheduler>> services_;
   std::map<TeamName, TeamId> team_ids_;
   std::vector<Team> teams_;
-  std::map<InstanceName, UpstreamId> upstream_ids_;
-  std::vector<Upstream> upstreams_;
+  std::map<InstanceName, ServiceId> upstream_services_;
   std::set<ZoneName> zones_out_;
   std::unordered_map<JobHandle, Job> jobs_;
-  /// Services with a waiting task and a place.
+  /// Services that have a waiting task and a place for it.
   std::set<ServiceId> ready_;
   ServiceId next_service_ = 0;
-  bool reservations_due_ = false;
+  /// Services by the time of their next change by time alone.
+  std::set<std::pair<Instant, ServiceId>> timers_;
+  std::vector<Instant> timer_of_;
+  std::vector<uint64_t> waiting_of_;
   uint64_t waiting_ = 0;
 };
 
@@ -565,12 +362,12 @@
   impl_->SetSharing(entries, number);
 }
 
-void Dispatcher::SetZoneOut(const ZoneName& zone, bool out, Instant now) {
-  impl_->SetZoneOut(zone, out, now);
+void Dispatcher::SetZoneOut(const ZoneName& zone, bool out, Instant /*now*/) {
+  impl_->SetZoneOut(zone, out);
 }
 
-void Dispatcher::UpsertUpstream(const UpstreamInfo& info, Instant now) {
-  impl_->UpsertUpstream(info, now);
+void Dispatcher::UpsertUpstream(const UpstreamInfo& info, Instant /*now*/) {
+  impl_->UpsertUpstream(info);
 }
 
 void Dispatcher::RemoveUpstream(const InstanceName& name) {
@@ -583,16 +380,16 @@
   impl_->UpdateLoad(name, load, now);
 }
 
-Admission Dispatcher::Admit(const JobShape& shape, Instant now) const {
-  return impl_->Admit(shape, now);
+Admission Dispatcher::Admit(const JobShape& shape, Instant /*now*/) const {
+  return impl_->Admit(shape);
 }
 
 void Dispatcher::AddJob(JobHandle job, const JobShape& shape, Instant now) {
   impl_->AddJob(job, shape, now);
 }
 
-void Dispatcher::AddTask(const TaskRef& task, Instant now) {
-  impl_->AddTask(task, now);
+void Dispatcher::AddTask(const TaskRef& task, Instant /*now*/) {
+  impl_->AddTask(task);
 }
 
 void Dispatcher::RemoveTask(const TaskRef& task) {
@@ -611,8 +408,8 @@
   return impl_->NextChange(now);
 }
 
-void Dispatcher::OnStarted(const TaskRef& task, Instant now) {
-  impl_->OnStarted(task, now);
+void Dispatcher::OnStarted(const TaskRef& task, Instant /*now*/) {
+  impl_->OnStarted(task);
 }
 
 void Dispatcher::OnEnded(const TaskRef& task,
@@ -622,20 +419,20 @@
   impl_->OnEnded(task, end, run_time, now);
 }
 
-bool Dispatcher::TakeRetry(const ServiceName& /*service*/, Instant /*now*/) {
-  return true;
+bool Dispatcher::TakeRetry(const ServiceName& service, Instant /*now*/) {
+  return impl_->TakeRetry(service);
 }
 
-std::vector<TaskRef> Dispatcher::TakeWithdrawals(Instant /*now*/) {
-  return {};
+std::vector<TaskRef> Dispatcher::TakeWithdrawals(Instant now) {
+  return impl_->TakeWithdrawals(now);
 }
 
 std::vector<EjectionChange> Dispatcher::TakeEjections() {
-  return {};
+  return impl_->TakeEjections();
 }
 
-bool Dispatcher::IsEjected(const InstanceName& /*name*/) const {
-  return false;
+bool Dispatcher::IsEjected(const InstanceName& name) const {
+  return impl_->IsEjected(name);
 }
 
 uint64_t Dispatcher::waiting() const {
--- a/filbertwick/core/policy/dispatcher.h
+++ b/filbertwick/core/policy/dispatcher.h
@@ -10,6 +10,7 @@
 #include "filbertwick/base/name.h"
 #include "filbertwick/base/time.h"
 #include "filbertwick/bundle/bundle.h"
+#include "filbertwick/core/policy/admission_control.h"
 #include "filbertwick/core/policy/policy_settings.h"
 #include "filbertwick/core/policy/task_ref.h"
 #include "filbertwick/wire/job.h"
@@ -34,14 +35,6 @@
   Duration deadline{0};
 };
 
-/// Whether a job is taken in.
-struct Admission {
-  /// kNone admits; others refuse with "not run".
-  wire::Reason reason = wire::Reason::kNone;
-  /// For refusals: when a retry is worth it.
-  Duration retry_after{0};
-};
-
 /// One decision: this task goes to this upstream.
 struct Placement {
   TaskRef task;
--- a/filbertwick/core/policy/fair_queue.cc
+++ b/filbertwick/core/policy/fair_queue.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <bit>
 #include <cassert>
+#include <numeric>
 #include <utility>
 
 namespace filbertwick::core::policy {
@@ -66,18 +67,23 @@
   return true;
 }
 
-void FairQueue::SetUnfinished(JobHandle handle, uint32_t unfinished) {
+void FairQueue::Update(JobHandle handle,
+                       uint32_t unfinished,
+                       Duration task_run_time) {
   const auto it = jobs_.find(handle);
-  if (it == jobs_.end() || it->second.info.unfinished == unfinished) {
+  if (it == jobs_.end()) {
     return;
   }
   Job& job = it->second;
-  const bool waits = !job.tasks.empty();
-  if (waits) {
+  const auto waiting = static_cast<int64_t>(job.tasks.size());
+  if (waiting > 0) {
     Dequeue(handle, job);
+    CountWaiting(job, -waiting);
   }
   job.info.unfinished = unfinished;
-  if (waits) {
+  job.info.task_run_time = task_run_time;
+  if (waiting > 0) {
+    CountWaiting(job, waiting);
     Enqueue(handle, job);
   }
 }
@@ -122,10 +128,24 @@
   return lanes_[static_cast<size_t>(deadline_class)].size;
 }
 
-double FairQueue::work_ahead(DeadlineClass deadline_class) const {
-  const bool all =
-      !settings_.urgent_first || deadline_class == DeadlineClass::kBulk;
-  return lanes_[0].work + (all ? lanes_[1].work : 0.0);
+Duration FairQueue::WorkAhead(DeadlineClass deadline_class,
+                              Duration work) const {
+  const size_t sizes = settings_.least_work_first ? SizeOf(work.count()) + 1
+                                                  : lanes_[0].work.size();
+  const auto sum = [&](const Lane& lane) {
+    return std::accumulate(lane.work.begin(), lane.work.begin() + sizes,
+                           int64_t{0});
+  };
+  // Urgent jobs go before bulk ones of any size.
+  if (!settings_.urgent_first) {
+    return Duration(sum(lanes_[0]) + sum(lanes_[1]));
+  }
+  if (deadline_class == DeadlineClass::kUrgent) {
+    return Duration(sum(lanes_[0]));
+  }
+  const std::array<int64_t, 64>& urgent = lanes_[0].work;
+  return Duration(std::accumulate(urgent.begin(), urgent.end(), int64_t{0}) +
+                  sum(lanes_[1]));
 }
 
 void FairQueue::Hash(Hasher& hasher) const {
@@ -202,8 +222,12 @@
   Lane& lane = LaneOf(job);
   lane.size += tasks;
   size_ += tasks;
-  lane.work += static_cast<double>(tasks) *
-               static_cast<double>(job.info.task_run_time.count());
+  const int64_t task = job.info.task_run_time.count();
+  lane.work[SizeOf(task * job.info.unfinished)] += tasks * task;
+}
+
+size_t FairQueue::SizeOf(int64_t work) {
+  return std::bit_width(static_cast<uint64_t>(std::max<int64_t>(work, 1))) - 1;
 }
 
 const FairQueue::Lane* FairQueue::NextLane() const {
--- a/filbertwick/core/policy/fair_queue.h
+++ b/filbertwick/core/policy/fair_queue.h
@@ -51,8 +51,8 @@
   void AddTask(const TaskRef& task, bool front);
   /// Takes a waiting task out; false when it does not wait.
   bool RemoveTask(const TaskRef& task);
-  /// Changes the number of unfinished tasks of a job.
-  void SetUnfinished(JobHandle job, uint32_t unfinished);
+  /// Changes what is known of a job's remaining work.
+  void Update(JobHandle job, uint32_t unfinished, Duration task_run_time);
 
   /// The task that goes next, without taking it; with `urgent_only` the next
   /// of the urgent class.
@@ -65,8 +65,8 @@
   /// Waiting tasks of one class.
   uint64_t size(bundle::DeadlineClass deadline_class) const;
   /// Expected run time of all waiting tasks that would go before a new job of
-  /// this class, in microseconds.
-  double work_ahead(bundle::DeadlineClass deadline_class) const;
+  /// this class and expected work; ageing and teams are left out.
+  Duration WorkAhead(bundle::DeadlineClass deadline_class, Duration work) const;
 
   /// Adds the queue's state to a digest.
   void Hash(Hasher& hasher) const;
@@ -94,7 +94,8 @@
     std::set<std::pair<double, TeamId>> order;
     double virtual_time = 0;
     uint64_t size = 0;
-    double work = 0;
+    /// Waiting work by the logarithm of its job's remaining work.
+    std::array<int64_t, 64> work{};
   };
 
   Lane& LaneOf(const Job& job);
@@ -104,6 +105,7 @@
   void Place(Lane& lane, TeamId team);
   void Displace(Lane& lane, TeamId team);
   void CountWaiting(const Job& job, int64_t tasks);
+  static size_t SizeOf(int64_t work);
   const Lane* NextLane() const;
 
   QueueSettings settings_;
--- a/filbertwick/core/policy/policy_settings.h
+++ b/filbertwick/core/policy/policy_settings.h
@@ -52,6 +52,48 @@
   double reserved_share = 0.1;
 };
 
+/// Setting upstreams aside that fail more than the others.
+struct EjectionSettings {
+  bool enabled = true;
+  /// Share of failures that an upstream is tested for.
+  double failure_share = 0.5;
+  /// Share of failures assumed of the other upstreams at least.
+  double usual_floor = 0.01;
+  /// Logarithm of the likelihood ratio that ejects.
+  double evidence = 11.0;
+  /// Largest share of a service's upstreams that may be ejected.
+  double largest_share = 0.2;
+  /// Time to the first probe; doubles with each that fails.
+  Duration first_probe = std::chrono::seconds(5);
+  Duration longest_probe = std::chrono::minutes(5);
+  /// Expected wait added to a suspect, for evidence enough to eject it.
+  Duration suspicion_wait = std::chrono::seconds(1);
+};
+
+/// Further starts of repeatable requests.
+struct RetrySettings {
+  /// Retries for each first send.
+  double share = 0.1;
+  /// Most retries that may be saved up.
+  double stock = 20.0;
+};
+
+/// Which jobs are taken in.
+struct AdmissionSettings {
+  /// Jobs that would end past their deadline are refused.
+  bool use_deadline = true;
+  /// Share of the deadline that a job may take by the estimate.
+  double deadline_share = 0.8;
+};
+
+/// Taking tasks back that wait behind stragglers.
+struct WithdrawalSettings {
+  bool enabled = true;
+  /// Time that a task waits at a sidecar before it is taken back for a slot
+  /// that is free elsewhere.
+  Duration patience = std::chrono::milliseconds(50);
+};
+
 /// Tunables of the policy; each mechanism can be switched off to measure it.
 struct PolicySettings {
   /// Zone of the entry itself, preferred while waits are equal.
@@ -68,6 +110,13 @@
   QueueSettings queue;
   PlacementSettings placement;
   SharingSettings sharing;
+  EjectionSettings ejection;
+  RetrySettings retry;
+  AdmissionSettings admission;
+  WithdrawalSettings withdrawal;
+  /// New upstreams and those of a zone that came back get one task more for
+  /// each that succeeds; else all their slots at once.
+  bool slow_start = true;
 };
 
 }  // namespace filbertwick::core::policy
