Judge an upstream's speed by medians; leave one that refuses alone

Change: an upstream is slow when its median passes twice the service's; one that refuses gets no offer for 5 ms, doubling to 500 ms; a stopped task that ran twice the longest usual time speaks against its upstream.

--- a/bench/policy/entry_policy.cc
+++ b/bench/policy/entry_policy.cc
@@ -123,6 +123,12 @@
     return std::ranges::count_if(changes,
                                  &core::policy::EjectionChange::ejected);
   }
+  bool IsEjected(uint32_t upstream) const override {
+    return dispatcher_->IsEjected(names_[upstream]);
+  }
+  void SetSharing(uint32_t entries, uint32_t number) override {
+    dispatcher_->SetSharing(entries, number);
+  }
 
  private:
   static core::policy::JobShape Shape(const JobArrival& job) {
--- a/bench/policy/entry_policy.h
+++ b/bench/policy/entry_policy.h
@@ -55,6 +55,8 @@
   virtual void SetZoneOut(uint32_t zone, bool out, Instant now) = 0;
   virtual std::vector<TaskRef> TakeWithdrawals(Instant /*now*/) { return {}; }
   virtual uint64_t TakeEjections() { return 0; }
+  virtual bool IsEjected(uint32_t /*upstream*/) const { return false; }
+  virtual void SetSharing(uint32_t /*entries*/, uint32_t /*number*/) {}
 };
 
 /// Zone of an executor: they are dealt to the zones in turn.
--- a/bench/policy/figures.h
+++ b/bench/policy/figures.h
@@ -28,7 +28,8 @@
   /// start, result or needed state.
   uint64_t messages = 0;
   uint64_t wasted = 0;
-  /// Tasks that ended at the executor which fails all of them.
+  /// Tasks that failed at the executor which fails all of them, while their
+  /// entry had not set it aside.
   uint64_t lost_to_failing = 0;
   uint64_t ejections = 0;
   /// Work of complete jobs within the window, in seconds of one slot, and the
--- a/filbertwick/core/policy/dispatcher.cc
+++ b/filbertwick/core/policy/dispatcher.cc
@@ -184,9 +184,9 @@
     return next;
   }
 
-  void OnStarted(const TaskRef& task) {
+  void OnStarted(const TaskRef& task, Instant now) {
     Change(task.job,
-           [&](ServiceScheduler& service) { service.OnStarted(task); });
+           [&](ServiceScheduler& service) { service.OnStarted(task, now); });
   }
 
   void OnEnded(const TaskRef& task,
@@ -408,8 +408,8 @@
   return impl_->NextChange(now);
 }
 
-void Dispatcher::OnStarted(const TaskRef& task, Instant /*now*/) {
-  impl_->OnStarted(task);
+void Dispatcher::OnStarted(const TaskRef& task, Instant now) {
+  impl_->OnStarted(task, now);
 }
 
 void Dispatcher::OnEnded(const TaskRef& task,
--- a/filbertwick/core/policy/placement_index.cc
+++ b/filbertwick/core/policy/placement_index.cc
@@ -97,9 +97,7 @@
             std::pow(settings_.unseen_share, place.slots - place.busy);
   }
   // A slow upstream costs what the task runs longer there.
-  if (settings_.use_run_time && run_time > usual * settings_.slow_ratio) {
-    wait += run_time - usual;
-  }
+  wait += std::max(run_time - usual, 0.0);
   return wait;
 }
 
--- a/filbertwick/core/policy/policy_settings.h
+++ b/filbertwick/core/policy/policy_settings.h
@@ -41,8 +41,9 @@
   QueueUse queue_use = QueueUse::kUrgent;
   /// Measured run times of single upstreams count.
   bool use_run_time = true;
-  /// An upstream whose tasks run this many times longer than usual is slow.
-  double slow_ratio = 1.5;
+  /// An upstream whose median task runs this many times longer than the
+  /// service's is slow.
+  double slow_ratio = 2.0;
 };
 
 /// Sharing of upstreams between entries.
--- a/filbertwick/core/policy/service_scheduler.cc
+++ b/filbertwick/core/policy/service_scheduler.cc
@@ -14,6 +14,13 @@
 constexpr int64_t kPriorTasks = 2;
 /// Measured tasks from which an upstream's own run time counts.
 constexpr uint64_t kUpstreamSamples = 10;
+/// Time in which nothing is offered to an upstream that refused; doubles with
+/// each refusal in a row.
+constexpr Duration kFirstBlock = std::chrono::milliseconds(5);
+constexpr Duration kLongestBlock = std::chrono::milliseconds(500);
+/// A task that is stopped after this many times the longest usual run time
+/// speaks against its upstream as a failure does.
+constexpr int kStalledTimes = 2;
 /// Share of the evidence for an ejection from which a suspect gets one task at
 /// a time.
 constexpr double kStrongSuspicion = 0.5;
@@ -192,7 +199,9 @@
   if (task.placed == Instant()) {
     retries_.OnFirstSend();
   }
-  task = {.phase = Phase::kPlaced, .upstream = *best, .placed = now};
+  task.phase = Phase::kPlaced;
+  task.upstream = *best;
+  task.placed = now;
   ++upstreams_[*best].placed;
   ++placed_;
   MarkUnstarted(*ref, task);
@@ -204,6 +213,12 @@
   if (reservations_due_) {
     ReserveSlots();
   }
+  while (!blocked_.empty() && blocked_.begin()->first <= now) {
+    const UpstreamId id = blocked_.begin()->second;
+    blocked_.erase(blocked_.begin());
+    upstreams_[id].blocked_until = Instant();
+    Refresh(id);
+  }
   if (ejector_.NextProbe() <= now) {
     std::ranges::for_each(ejector_.TakeDueProbes(now),
                           [this](UpstreamId id) { Refresh(id); });
@@ -211,11 +226,16 @@
 }
 
 Instant ServiceScheduler::NextAdvance() const {
-  return reservations_due_ ? Instant::min() : ejector_.NextProbe();
+  if (reservations_due_) {
+    return Instant::min();
+  }
+  return blocked_.empty()
+             ? ejector_.NextProbe()
+             : std::min(ejector_.NextProbe(), blocked_.begin()->first);
 }
 
 Instant ServiceScheduler::NextChange(Instant now) const {
-  Instant next = ejector_.NextProbe();
+  Instant next = waiting() > 0 ? NextAdvance() : ejector_.NextProbe();
   if (settings_.withdrawal.enabled && !unstarted_.empty()) {
     // Later than that it takes news of a free slot.
     const Instant due =
@@ -225,14 +245,17 @@
   return next;
 }
 
-void ServiceScheduler::OnStarted(const TaskRef& ref) {
+void ServiceScheduler::OnStarted(const TaskRef& ref, Instant now) {
   Task* task = FindTask(ref);
   if (task == nullptr || task->phase != Phase::kPlaced) {
     return;
   }
   ClearUnstarted(ref, *task);
   task->phase = Phase::kStarted;
-  ++upstreams_[task->upstream].started;
+  task->started = now;
+  Upstream& upstream = upstreams_[task->upstream];
+  ++upstream.started;
+  upstream.refusals = 0;
 }
 
 void ServiceScheduler::OnEnded(const TaskRef& ref,
@@ -246,7 +269,14 @@
   }
   const UpstreamId id = task->upstream;
   Upstream& upstream = upstreams_[id];
+  // One that was not asked back was refused.
+  const bool refused =
+      end == TaskEnd::kNotStarted && unstarted_.contains({task->placed, ref});
+  const bool stalled = end == TaskEnd::kStopped && IsStalled(*task, now);
   LeaveUpstream(ref, *task);
+  if (refused) {
+    Block(id, now);
+  }
   if (end == TaskEnd::kNotStarted) {
     task->phase = Phase::kIdle;
     Refresh(id);
@@ -256,19 +286,46 @@
   Job& job = jobs_.at(ref.job);
   --job.unfinished;
   if (end == TaskEnd::kSucceeded) {
-    run_time_.Add(run_time);
-    upstream.run_time.Add(run_time);
-    job.measured += run_time;
-    ++job.measured_tasks;
+    Measure(job, upstream, run_time);
     upstream.allowed += upstream.allowed < kAllAllowed ? 1 : 0;
     ejector_.OnSuccess(id);
-  } else if (end == TaskEnd::kFailed) {
+  } else if (end == TaskEnd::kFailed || stalled) {
     ejector_.OnFailure(id, ref.job, now);
   }
   queue_.Update(ref.job, job.unfinished, JobRunTime(job));
   Refresh(id);
 }
 
+void ServiceScheduler::Measure(Job& job,
+                               Upstream& upstream,
+                               Duration run_time) {
+  run_time_.Add(run_time);
+  upstream.run_time.Add(run_time);
+  job.measured += run_time;
+  ++job.measured_tasks;
+  // Medians: a few long tasks do not make an upstream slow.
+  if (upstream.run_time.samples() >= kUpstreamSamples) {
+    const auto usual = static_cast<double>(run_time_.Quantile(0.5).count());
+    upstream.slowness =
+        static_cast<double>(upstream.run_time.Quantile(0.5).count()) /
+        std::max(usual, 1.0);
+  }
+}
+
+void ServiceScheduler::Block(UpstreamId id, Instant now) {
+  Upstream& upstream = upstreams_[id];
+  const uint32_t doublings = std::min(upstream.refusals++, 10U);
+  blocked_.erase({upstream.blocked_until, id});
+  upstream.blocked_until =
+      now + std::min(kFirstBlock * (1 << doublings), kLongestBlock);
+  blocked_.emplace(upstream.blocked_until, id);
+}
+
+bool ServiceScheduler::IsStalled(const Task& task, Instant now) const {
+  return task.phase == Phase::kStarted &&
+         now - task.started > kStalledTimes * run_time_.Quantile(0.999);
+}
+
 bool ServiceScheduler::TakeRetry() {
   return retries_.Take();
 }
@@ -284,13 +341,12 @@
   while (places > 0 && !unstarted_.empty() &&
          unstarted_.begin()->first + settings_.withdrawal.patience <= now) {
     const TaskRef ref = unstarted_.begin()->second;
-    Task& task = *FindTask(ref);
+    const Task& task = *FindTask(ref);
     unstarted_.erase(unstarted_.begin());
     if (index_.HasFreeSlot(task.upstream)) {
       continue;
     }
     --places;
-    task.withdrawn = true;
     tasks.push_back(ref);
   }
 }
@@ -332,6 +388,7 @@
     hasher.Add(upstream.started);
     hasher.Add(upstream.others);
     hasher.Add(upstream.allowed);
+    hasher.Add(static_cast<uint64_t>(ToMicros(upstream.blocked_until)));
     upstream.run_time.Hash(hasher);
   }
   for (const auto& [placed, ref] : unstarted_) {
@@ -404,15 +461,17 @@
   } else if (upstream.reserved == Reserved::kForSelf && slots > 0) {
     others = std::min(others, slots - 1);
   }
-  const bool measured = upstream.run_time.samples() >= kUpstreamSamples;
-  UpstreamPlace place{
-      .distance = upstream.info.distance,
-      .own_zone = upstream.info.zone == settings_.own_zone,
-      .slots = slots,
-      .busy = upstream.placed + others,
-      .limit = slots + (queues ? spec_.queue : 0),
-      .run_time = measured ? upstream.run_time.mean() : run_time_.mean(),
-      .usual_run_time = run_time_.mean()};
+  const bool slow = upstream.slowness > settings_.placement.slow_ratio &&
+                    settings_.placement.use_run_time;
+  const auto run_time = static_cast<double>(run_time_.mean().count());
+  UpstreamPlace place{.distance = upstream.info.distance,
+                      .own_zone = upstream.info.zone == settings_.own_zone,
+                      .slots = slots,
+                      .busy = upstream.placed + others,
+                      .limit = slots + (queues ? spec_.queue : 0),
+                      .run_time = Duration(static_cast<int64_t>(
+                          run_time * (slow ? upstream.slowness : 1.0))),
+                      .usual_run_time = run_time_.mean()};
   // A suspect gets work last, and soon one task at a time.
   const double suspicion = ejector_.Suspicion(id);
   if (suspicion > 0) {
@@ -427,7 +486,8 @@
   if (ejector_.IsEjected(id)) {
     allowed = ejector_.IsProbing(id) ? 1 : 0;
   }
-  if (allowed <= upstream.placed) {
+  const bool blocked = upstream.blocked_until != Instant();
+  if (blocked || allowed <= upstream.placed) {
     place.limit = 0;
   }
   return place;
--- a/filbertwick/core/policy/service_scheduler.h
+++ b/filbertwick/core/policy/service_scheduler.h
@@ -73,7 +73,7 @@
   Instant NextChange(Instant now) const;
 
   /// A placed task has started.
-  void OnStarted(const TaskRef& task);
+  void OnStarted(const TaskRef& task, Instant now);
   /// A placed task ended or came back.
   void OnEnded(const TaskRef& task,
                TaskEnd end,
@@ -116,8 +116,7 @@
     UpstreamId upstream = 0;
     /// When it was placed last; the origin when never.
     Instant placed;
-    /// Asked back already.
-    bool withdrawn = false;
+    Instant started;
   };
   struct Job {
     uint32_t unfinished = 0;
@@ -141,11 +140,19 @@
     /// When own tasks that have not started were placed.
     std::multiset<Instant> unstarted;
     RunTimeEstimator run_time{Duration(0)};
+    /// Median run time there against the service's, once it is measured.
+    double slowness = 1.0;
+    /// Refusals in a row, and until when nothing is offered after the last.
+    uint32_t refusals = 0;
+    Instant blocked_until;
   };
 
   Task* FindTask(const TaskRef& task);
   void MarkUnstarted(const TaskRef& ref, const Task& task);
   void ClearUnstarted(const TaskRef& ref, const Task& task);
+  void Measure(Job& job, Upstream& upstream, Duration run_time);
+  void Block(UpstreamId id, Instant now);
+  bool IsStalled(const Task& task, Instant now) const;
   void LeaveUpstream(const TaskRef& ref, const Task& task);
   Duration JobRunTime(const Job& job) const;
   bool UrgentOnly(UpstreamId upstream) const;
@@ -168,8 +175,10 @@
   std::vector<Upstream> upstreams_;
   std::set<ZoneName> zones_out_;
   std::unordered_map<JobHandle, Job> jobs_;
-  /// Placed tasks that have not started nor been asked back, oldest first.
+  /// Placed tasks, not started nor asked back yet, oldest first.
   std::set<std::pair<Instant, TaskRef>> unstarted_;
+  /// Upstreams that refused, by the time when they are offered to again.
+  std::set<std::pair<Instant, UpstreamId>> blocked_;
   /// Tasks placed and not ended.
   uint64_t placed_ = 0;
   bool reservations_due_ = false;
