Add the harness: real cores in one event loop in virtual time

Cause: the promises need to be tried against process, network, log and executor faults in a way that a seed repeats to the byte.

--- /dev/null
+++ b/filbertwick/harness/executor.cc
@@ -0,0 +1,113 @@
+#include "filbertwick/harness/executor.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace filbertwick::harness {
+namespace {
+
+/// Time of a call between a sidecar and its executor.
+constexpr Duration kCallTime{100};
+/// Run time of a task at an executor that fails everything.
+constexpr Duration kFailTime = std::chrono::milliseconds(2);
+
+}  // namespace
+
+void Executor::Start(const core::StartEffect& start) {
+  const RunKey key(start.key, start.attempt);
+  const bool full = running_.size() >= slots_;
+  if (mode_ == ExecutorMode::kDead || full || running_.contains(key)) {
+    Refuse(start);
+    return;
+  }
+  const uint64_t number = ++runs_;
+  running_[key] = {number, start.payload, true};
+  hooks_.started(start);
+  // The task ends by itself or is stopped at its timeout.
+  const auto end_after = [&](Duration delay, wire::TaskOutcome outcome) {
+    loop_.After(delay,
+                [this, key, number, outcome] { End(key, number, outcome); });
+  };
+  if (mode_ == ExecutorMode::kFails) {
+    end_after(kFailTime, wire::TaskOutcome::kRan);
+    return;
+  }
+  const bool hangs = mode_ == ExecutorMode::kHangs;
+  const Duration run_time = hangs ? Duration::max() : hooks_.run_time(start);
+  if (run_time <= start.timeout) {
+    end_after(run_time + kCallTime, wire::TaskOutcome::kSucceeded);
+  } else {
+    end_after(start.timeout + kCallTime, wire::TaskOutcome::kRan);
+  }
+}
+
+void Executor::Stop(const wire::TaskKey& key, uint32_t attempt) {
+  const RunKey run(key, attempt);
+  const auto it = running_.find(run);
+  if (it == running_.end()) {
+    return;
+  }
+  loop_.After(kCallTime, [this, run, number = it->second.number] {
+    End(run, number, wire::TaskOutcome::kRan);
+  });
+}
+
+void Executor::Disconnect() {
+  for (auto& [key, run] : running_) {
+    run.connected = false;
+  }
+}
+
+void Executor::SetMode(ExecutorMode mode) {
+  mode_ = mode;
+  if (mode != ExecutorMode::kDead) {
+    return;
+  }
+  const auto lost = std::exchange(running_, {});
+  for (const auto& [key, run] : lost) {
+    core::ExecutionEvent event;
+    event.key = key.first;
+    event.attempt = key.second;
+    event.result.outcome = wire::TaskOutcome::kMayHaveRun;
+    event.result.body = "the connection to the executor broke";
+    Report(run, event);
+  }
+}
+
+void Executor::Refuse(const core::StartEffect& start) {
+  core::ExecutionEvent event;
+  event.key = start.key;
+  event.attempt = start.attempt;
+  event.result.outcome = wire::TaskOutcome::kNotRun;
+  event.result.body = "refused by the executor";
+  loop_.After(kCallTime, [this, event] { hooks_.report(event); });
+}
+
+void Executor::End(const RunKey& key,
+                   uint64_t number,
+                   wire::TaskOutcome outcome) {
+  const auto it = running_.find(key);
+  if (it == running_.end() || it->second.number != number) {
+    return;
+  }
+  core::ExecutionEvent event;
+  event.key = key.first;
+  event.attempt = key.second;
+  event.result.outcome = outcome;
+  event.result.body = outcome == wire::TaskOutcome::kSucceeded
+                          ? ResultOf(it->second.payload)
+                          : "failed";
+  const Run run = std::move(it->second);
+  running_.erase(it);
+  Report(run, event);
+}
+
+void Executor::Report(const Run& run, const core::ExecutionEvent& event) {
+  hooks_.ended(event);
+  if (run.connected) {
+    hooks_.report(event);
+  }
+}
+
+}  // namespace filbertwick::harness
--- /dev/null
+++ b/filbertwick/harness/world.cc
@@ -0,0 +1,629 @@
+#include "filbertwick/harness/world.h"
+
+#include <absl/status/status.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cassert>
+#include <deque>
+#include <map>
+#include <utility>
+
+#include "filbertwick/base/hash.h"
+#include "filbertwick/harness/effect_hash.h"
+#include "filbertwick/harness/process_clock.h"
+#include "filbertwick/harness/trace.h"
+#include "filbertwick/wire/codec.h"
+
+namespace filbertwick::harness {
+namespace {
+
+/// Range in which a monotonic clock starts.
+constexpr Duration kMaxClockOrigin = std::chrono::hours(1'000);
+/// Time until an executor has announced itself to a new sidecar.
+constexpr Duration kAnnounceMin = std::chrono::milliseconds(5);
+constexpr Duration kAnnounceMax = std::chrono::milliseconds(50);
+/// Time until a sidecar notices that its executor died.
+constexpr Duration kDeathNotice = std::chrono::milliseconds(100);
+/// Bounds of a task's run time unless the settings give a function.
+constexpr Duration kShortTask = std::chrono::milliseconds(50);
+constexpr Duration kLongTask = std::chrono::milliseconds(1'000);
+
+}  // namespace
+
+class World::Impl {
+ public:
+  explicit Impl(WorldSettings settings);
+
+  /// One instance with what lives and dies with its process.
+  struct Process {
+    wire::InstanceInfo info;
+    std::unique_ptr<core::Core> core;
+    std::unique_ptr<Executor> executor;
+    bool leaving = false;
+    ProcessClock clock;
+    uint64_t life = 0;
+    bool paused = false;
+    /// The effects of the next event are held back.
+    bool hold_next = false;
+    bool holding = false;
+    core::Effects held;
+    std::deque<core::Event> inbox;
+    Duration wakeup = Duration::max();
+    MessageCounts counts;
+  };
+
+  struct Request {
+    Process* process = nullptr;
+    uint64_t life = 0;
+    bool open = true;
+    bool answered = false;
+    AnswerHook answer;
+    OperatorHook operator_answer;
+  };
+
+  void Start(Process& process);
+  void Kill(Process& process);
+  void Pause(Process& process, bool mid_step);
+  void Resume(Process& process);
+  void Announce(Process& process, Duration delay);
+  void Deliver(Process& process, core::Event event);
+  wire::RequestId Ask(Process& process, Request request, core::Event event);
+  void HangUp(wire::RequestId id);
+
+  Process& Find(const InstanceName& name) {
+    const auto it = processes.find(name);
+    assert(it != processes.end());
+    return it->second;
+  }
+
+  WorldSettings settings;
+  EventLoop loop;
+  Random random;
+  Network network;
+  ControlLog log;
+  std::map<InstanceName, Process> processes;
+  std::map<wire::RequestId, Request> requests;
+  wire::RequestId last_request = 0;
+  WorldHooks hooks;
+  Hasher hasher;
+  uint64_t events = 0;
+
+ private:
+  void MakeExecutor(Process& process);
+  void Handle(Process& process, core::Event event);
+  void Apply(Process& process, core::Effects effects);
+  void ScheduleWakeup(Process& process);
+  void Reply(std::function<void()> reply);
+  void Break(Request& request);
+  Request* TakeAnswer(Process& process, wire::RequestId id);
+  void Trace(const Process& process, const char* mark, const std::string& text);
+
+  void Run(Process& process, core::SendEffect& effect);
+  void Run(Process& process, core::AppendEffect& effect);
+  void Run(Process& process, core::AnswerEffect& effect);
+  void Run(Process& process, core::OperatorAnswerEffect& effect);
+  void Run(Process& process, core::StartEffect& effect);
+  void Run(Process& process, core::StopExecutionEffect& effect);
+  void Run(Process& process, core::AuditEffect& effect);
+  void Run(Process& process, core::LogEffect& effect);
+  void Run(Process& process, core::StoppedEffect& effect);
+};
+
+World::Impl::Impl(WorldSettings given)
+    : settings(std::move(given)),
+      random(settings.seed),
+      network(
+          loop,
+          random.Next(),
+          [this](const InstanceName& from, const InstanceName& to) {
+            return settings.deployment.Latency(from, to);
+          },
+          settings.jitter),
+      log(loop,
+          random.Next(),
+          settings.log,
+          [this](const InstanceName& name, core::Event event) {
+            Deliver(Find(name), std::move(event));
+          }) {
+  for (const wire::InstanceInfo& info : settings.deployment.instances) {
+    Process& process = processes[info.name];
+    process.info = info;
+    if (info.role == wire::Role::kSidecar) {
+      MakeExecutor(process);
+    }
+  }
+}
+
+void World::Impl::MakeExecutor(Process& process) {
+  ExecutorHooks executor_hooks;
+  executor_hooks.run_time = [this](const core::StartEffect& start) {
+    return settings.run_time ? settings.run_time(start)
+                             : random.Between(kShortTask, kLongTask);
+  };
+  executor_hooks.started = [this, &process](const core::StartEffect& start) {
+    if (hooks.started) {
+      hooks.started(process.info.name, start);
+    }
+  };
+  executor_hooks.ended = [this, &process](const core::ExecutionEvent& event) {
+    if (hooks.ended) {
+      hooks.ended(process.info.name, event);
+    }
+  };
+  executor_hooks.report = [this, &process](const core::ExecutionEvent& event) {
+    Deliver(process, event);
+  };
+  process.executor = std::make_unique<Executor>(loop, settings.deployment.slots,
+                                                std::move(executor_hooks));
+}
+
+void World::Impl::Start(Process& process) {
+  if (process.core) {
+    return;
+  }
+  ++process.life;
+  const auto ppm = static_cast<int64_t>(settings.clock_rate_ppm);
+  const Duration skew = settings.wall_clock_skew;
+  process.clock = ProcessClock(
+      loop.now(), random.Between(Duration(1), kMaxClockOrigin),
+      static_cast<int64_t>(random.Below(2 * settings.clock_rate_ppm + 1)) - ppm,
+      random.Between(-skew, skew));
+  // A new incarnation with a seed of its own.
+  core::NodeSettings node;
+  node.info = process.info;
+  node.info.incarnation = random.Next() | 1;
+  node.timing = settings.timing;
+  node.rules = settings.rules;
+  node.seed = random.Next();
+  process.info.incarnation = node.info.incarnation;
+  process.core = settings.make_core(node);
+  assert(process.core);
+  Trace(process, "**", "start");
+  if (process.info.role == wire::Role::kEntry) {
+    log.Attach(process.info.name);
+  } else {
+    Announce(process, random.Between(kAnnounceMin, kAnnounceMax));
+  }
+  Deliver(process, core::WakeupEvent());
+}
+
+void World::Impl::Kill(Process& process) {
+  if (!process.core) {
+    return;
+  }
+  Trace(process, "**", "gone");
+  ++process.life;
+  process.core.reset();
+  process.paused = false;
+  process.hold_next = false;
+  process.holding = false;
+  process.held.clear();
+  process.inbox.clear();
+  process.wakeup = Duration::max();
+  log.Detach(process.info.name);
+  if (process.executor) {
+    process.executor->Disconnect();
+  }
+  // Every open connection of a caller breaks.
+  for (auto& [id, request] : requests) {
+    if (request.process == &process && request.life != 0) {
+      Break(request);
+    }
+  }
+}
+
+void World::Impl::Pause(Process& process, bool mid_step) {
+  if (!process.core || process.paused) {
+    return;
+  }
+  Trace(process, "**", mid_step ? "pause mid-step" : "pause");
+  process.paused = true;
+  process.hold_next = mid_step;
+  log.Freeze(process.info.name, true);
+}
+
+void World::Impl::Resume(Process& process) {
+  if (!process.core || !process.paused) {
+    return;
+  }
+  Trace(process, "**", "resume");
+  process.paused = false;
+  process.hold_next = false;
+  log.Freeze(process.info.name, false);
+  const uint64_t life = process.life;
+  Apply(process, std::exchange(process.held, {}));
+  // What came in meanwhile is taken in its order, then timers.
+  auto inbox = std::exchange(process.inbox, {});
+  for (core::Event& event : inbox) {
+    if (process.core && process.life == life) {
+      Handle(process, std::move(event));
+    }
+  }
+  if (process.core && process.life == life) {
+    ScheduleWakeup(process);
+  }
+}
+
+void World::Impl::Announce(Process& process, Duration delay) {
+  loop.After(delay, [this, &process, life = process.life] {
+    if (process.core && process.life == life) {
+      Deliver(process,
+              core::UpstreamEvent{process.executor->slots(), process.leaving});
+    }
+  });
+}
+
+void World::Impl::Deliver(Process& process, core::Event event) {
+  if (!process.core) {
+    return;
+  }
+  if (!process.paused) {
+    Handle(process, std::move(event));
+    return;
+  }
+  // Stopped between a decision and its send: one event is still decided.
+  if (process.hold_next) {
+    process.hold_next = false;
+    process.holding = true;
+    Handle(process, std::move(event));
+    process.holding = false;
+    return;
+  }
+  if (!std::holds_alternative<core::WakeupEvent>(event)) {
+    process.inbox.push_back(std::move(event));
+  }
+}
+
+void World::Impl::Handle(Process& process, core::Event event) {
+  ++events;
+  Trace(process, "<-", settings.trace ? Describe(event) : std::string());
+  if (const auto* message = std::get_if<core::MessageEvent>(&event)) {
+    const size_t kind = message->message.index();
+    ++process.counts.received[kind];
+    if (settings.count_bytes) {
+      process.counts.received_bytes[kind] +=
+          wire::EncodeMessage(message->message).size();
+    }
+  }
+  core::Effects effects;
+  process.core->Handle(process.clock.At(loop.now()), std::move(event), effects);
+  if (process.holding) {
+    process.held = std::move(effects);
+    return;
+  }
+  const uint64_t life = process.life;
+  Apply(process, std::move(effects));
+  if (process.core && process.life == life) {
+    ScheduleWakeup(process);
+  }
+}
+
+void World::Impl::Apply(Process& process, core::Effects effects) {
+  for (core::Effect& effect : effects) {
+    hasher.Add(static_cast<uint64_t>(loop.now().count()));
+    hasher.Add(process.info.incarnation);
+    hasher.Add(effect.index());
+    if (settings.hash_bytes) {
+      AddEffect(effect, hasher);
+    }
+    Trace(process, "->", settings.trace ? Describe(effect) : std::string());
+    std::visit([&](auto& it) { Run(process, it); }, effect);
+    if (!process.core) {
+      return;
+    }
+  }
+}
+
+void World::Impl::ScheduleWakeup(Process& process) {
+  const Duration when =
+      std::max(process.clock.When(process.core->NextWakeup()), loop.now());
+  if (process.paused || when == process.wakeup) {
+    return;
+  }
+  process.wakeup = when;
+  if (when == Duration::max()) {
+    return;
+  }
+  loop.At(when, [this, &process, life = process.life, when] {
+    if (process.life == life && process.wakeup == when) {
+      process.wakeup = Duration::max();
+      Deliver(process, core::WakeupEvent());
+    }
+  });
+}
+
+void World::Impl::Trace(const Process& process,
+                        const char* mark,
+                        const std::string& text) {
+  if (settings.trace) {
+    settings.trace(fmt::format("{:10.6f} {} {} {}",
+                               static_cast<double>(loop.now().count()) / 1e6,
+                               process.info.name.value(), mark, text));
+  }
+}
+
+void World::Impl::Run(Process& process, core::SendEffect& effect) {
+  const size_t kind = effect.message.index();
+  ++process.counts.sent[kind];
+  if (settings.count_bytes) {
+    process.counts.sent_bytes[kind] +=
+        wire::EncodeMessage(effect.message).size();
+  }
+  const auto it = processes.find(effect.to);
+  if (it == processes.end()) {
+    return;
+  }
+  const auto message =
+      std::make_shared<const wire::Message>(std::move(effect.message));
+  const wire::Sender from{process.info.name, process.info.incarnation};
+  network.Send(process.info.name, effect.to, *message,
+               [this, to = &it->second, from, message] {
+                 Deliver(*to, core::MessageEvent{from, *message});
+               });
+}
+
+void World::Impl::Run(Process& process, core::AppendEffect& effect) {
+  log.Append(process.info.name, std::move(effect.record));
+}
+
+World::Impl::Request* World::Impl::TakeAnswer(Process& process,
+                                              wire::RequestId id) {
+  const auto it = requests.find(id);
+  const bool own = it != requests.end() && it->second.process == &process &&
+                   it->second.life == process.life;
+  if (!own || std::exchange(it->second.answered, true)) {
+    if (hooks.stray_answer) {
+      hooks.stray_answer(process.info.name, id);
+    }
+    return nullptr;
+  }
+  return std::exchange(it->second.open, false) ? &it->second : nullptr;
+}
+
+void World::Impl::Run(Process& process, core::AnswerEffect& effect) {
+  const Request* request = TakeAnswer(process, effect.request);
+  if (request && request->answer) {
+    Reply([hook = request->answer, answer = std::move(effect)] {
+      hook(&answer);
+    });
+  }
+}
+
+void World::Impl::Run(Process& process, core::OperatorAnswerEffect& effect) {
+  const Request* request = TakeAnswer(process, effect.request);
+  if (request && request->operator_answer) {
+    Reply([hook = request->operator_answer, answer = std::move(effect)] {
+      hook(&answer);
+    });
+  }
+}
+
+void World::Impl::Run(Process& process, core::StartEffect& effect) {
+  process.executor->Start(effect);
+}
+
+void World::Impl::Run(Process& process, core::StopExecutionEffect& effect) {
+  process.executor->Stop(effect.key, effect.attempt);
+}
+
+void World::Impl::Run(Process& process, core::AuditEffect& effect) {
+  if (hooks.audit) {
+    hooks.audit(process.info.name, effect);
+  }
+}
+
+void World::Impl::Run(Process&, core::LogEffect&) {}
+
+void World::Impl::Run(Process& process, core::StoppedEffect& effect) {
+  if (hooks.stopped) {
+    hooks.stopped(process.info.name, effect.clean);
+  }
+  // The process ends once the event that stopped it has been handled.
+  loop.After(Duration(0), [this, &process, life = process.life] {
+    if (process.life == life) {
+      Kill(process);
+    }
+  });
+}
+
+void World::Impl::Reply(std::function<void()> reply) {
+  loop.After(settings.deployment.client_latency, std::move(reply));
+}
+
+void World::Impl::Break(Request& request) {
+  if (!std::exchange(request.open, false)) {
+    return;
+  }
+  Reply([&request] {
+    if (request.answer) {
+      request.answer(nullptr);
+    } else if (request.operator_answer) {
+      request.operator_answer(nullptr);
+    }
+  });
+}
+
+wire::RequestId World::Impl::Ask(Process& process,
+                                 Request request,
+                                 core::Event event) {
+  const wire::RequestId id = last_request;
+  request.process = &process;
+  auto& kept = requests[id] = std::move(request);
+  loop.After(settings.deployment.client_latency,
+             [this, &process, &kept, event = std::move(event)] {
+               if (process.core) {
+                 kept.life = process.life;
+                 Deliver(process, event);
+                 return;
+               }
+               // Nobody listens: the connection is refused.
+               Break(kept);
+             });
+  return id;
+}
+
+void World::Impl::HangUp(wire::RequestId id) {
+  const auto it = requests.find(id);
+  if (it == requests.end() || !std::exchange(it->second.open, false)) {
+    return;
+  }
+  loop.After(settings.deployment.client_latency,
+             [this, id, process = it->second.process] {
+               Deliver(*process, core::CallerGoneEvent{id});
+             });
+}
+
+absl::StatusOr<std::unique_ptr<World>> World::Create(WorldSettings settings) {
+  if (settings.deployment.instances.empty()) {
+    return absl::InvalidArgumentError("the deployment has no instances");
+  }
+  if (!settings.make_core) {
+    return absl::InvalidArgumentError("no core factory is set");
+  }
+  return std::unique_ptr<World>(
+      new World(std::make_unique<Impl>(std::move(settings))));
+}
+
+World::World(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+World::~World() = default;
+
+void World::SetHooks(WorldHooks hooks) {
+  impl_->hooks = std::move(hooks);
+}
+
+void World::Start(const InstanceName& name) {
+  impl_->Start(impl_->Find(name));
+}
+
+void World::StartAll(Duration spread) {
+  for (auto& [name, process] : impl_->processes) {
+    impl_->loop.After(impl_->random.Between(Duration(0), spread),
+                      [this, &process] { impl_->Start(process); });
+  }
+}
+
+void World::Kill(const InstanceName& name) {
+  impl_->Kill(impl_->Find(name));
+}
+
+void World::Pause(const InstanceName& name, bool mid_step) {
+  impl_->Pause(impl_->Find(name), mid_step);
+}
+
+void World::Resume(const InstanceName& name) {
+  impl_->Resume(impl_->Find(name));
+}
+
+void World::Stop(const InstanceName& name, Duration deadline) {
+  impl_->Deliver(impl_->Find(name), core::StopEvent{deadline});
+}
+
+void World::SetLeaving(const InstanceName& sidecar, bool leaving) {
+  Impl::Process& process = impl_->Find(sidecar);
+  process.leaving = leaving;
+  impl_->Announce(process, kAnnounceMin);
+}
+
+void World::SetExecutorMode(const InstanceName& sidecar, ExecutorMode mode) {
+  Impl::Process& process = impl_->Find(sidecar);
+  const uint32_t slots = process.executor->slots();
+  process.executor->SetMode(mode);
+  if (process.executor->slots() != slots) {
+    impl_->Announce(process, slots > 0 ? kDeathNotice : kAnnounceMin);
+  }
+}
+
+wire::RequestId World::Submit(const InstanceName& entry,
+                              const wire::JobSpec& spec,
+                              AnswerHook hook) {
+  const wire::RequestId id = ++impl_->last_request;
+  Impl::Request request;
+  request.answer = std::move(hook);
+  return impl_->Ask(impl_->Find(entry), std::move(request),
+                    core::SubmitEvent{id, spec});
+}
+
+wire::RequestId World::Query(const InstanceName& entry,
+                             const JobId& job,
+                             wire::JobQuery query,
+                             AnswerHook hook) {
+  const wire::RequestId id = ++impl_->last_request;
+  Impl::Request request;
+  request.answer = std::move(hook);
+  return impl_->Ask(impl_->Find(entry), std::move(request),
+                    core::QueryEvent{id, job, query});
+}
+
+void World::HangUp(wire::RequestId request) {
+  impl_->HangUp(request);
+}
+
+wire::RequestId World::Operate(const InstanceName& entry,
+                               const wire::ControlRecord& record,
+                               OperatorHook hook) {
+  const wire::RequestId id = ++impl_->last_request;
+  Impl::Request request;
+  request.operator_answer = std::move(hook);
+  return impl_->Ask(impl_->Find(entry), std::move(request),
+                    core::OperatorEvent{id, record});
+}
+
+void World::Run(Duration span) {
+  impl_->loop.RunUntil(impl_->loop.now() + span);
+}
+
+EventLoop& World::loop() {
+  return impl_->loop;
+}
+
+Network& World::network() {
+  return impl_->network;
+}
+
+ControlLog& World::log() {
+  return impl_->log;
+}
+
+Executor& World::executor(const InstanceName& sidecar) {
+  return *impl_->Find(sidecar).executor;
+}
+
+const WorldSettings& World::settings() const {
+  return impl_->settings;
+}
+
+const core::Core* World::FindCore(const InstanceName& name) const {
+  return impl_->Find(name).core.get();
+}
+
+bool World::IsPaused(const InstanceName& name) const {
+  return impl_->Find(name).paused;
+}
+
+core::CoreStatus World::Status(const InstanceName& name) const {
+  const Impl::Process& process = impl_->Find(name);
+  return process.core
+             ? process.core->Status(process.clock.At(impl_->loop.now()))
+             : core::CoreStatus();
+}
+
+bool World::IsReady(const InstanceName& entry) const {
+  const Impl::Process& process = impl_->Find(entry);
+  return process.core && !process.paused &&
+         process.core->Status(process.clock.At(impl_->loop.now())).ready;
+}
+
+const MessageCounts& World::Counts(const InstanceName& name) const {
+  return impl_->Find(name).counts;
+}
+
+uint64_t World::hash() const {
+  return impl_->hasher.digest();
+}
+
+uint64_t World::events() const {
+  return impl_->events;
+}
+
+}  // namespace filbertwick::harness
