--- a/filbertwick/harness/world.cc
+++ b/filbertwick/harness/world.cc
@@ -589,6 +589,10 @@
   return *impl_->Find(sidecar).executor;
 }
 
+int64_t World::WallMillis() const {
+  return ProcessClock().At(impl_->loop.now()).wall.unix_millis;
+}
+
 const WorldSettings& World::settings() const {
   return impl_->settings;
 }
--- a/filbertwick/harness/world.h
+++ b/filbertwick/harness/world.h
@@ -135,6 +135,8 @@
   ControlLog& log();
   /// The executor beside a sidecar.
   Executor& executor(const InstanceName& sidecar);
+  /// Unix milliseconds by a caller's clock.
+  int64_t WallMillis() const;
   /// The settings it was made with.
   const WorldSettings& settings() const;
 
