Say in refusals whether the work ran; tie offers to an incarnation

Cause: a refusal by an instance that cannot know of other submissions of the same job must not claim that nothing ran, a token of an earlier incarnation must not pass, and a checkpoint with records between must not count. Change: JobAnswer::not_run, Offers::incarnation, TaskOffer::repeat and Checkpoint::offset. Conclusion: the messages can carry the argument for single starts.

--- a/filbertwick/wire/control_record.h
+++ b/filbertwick/wire/control_record.h
@@ -149,14 +149,17 @@
   }
 };
 
-/// The folded state just before this record, so that older records may go.
+/// The folded state just before this record, so that older records may go. It
+/// counts only when `offset` is the record's own offset: no other record came
+/// between.
 struct Checkpoint {
+  LogOffset offset = 0;
   /// State as ControlState::Encode() gives it.
   std::string state;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(state);
+    archive(offset, state);
   }
 };
 
--- a/filbertwick/wire/job.h
+++ b/filbertwick/wire/job.h
@@ -69,7 +69,7 @@
   kComplete,
   /// At least one task has none; nothing of the job starts any more.
   kFailed,
-  /// Refused: no task of this submission ran or will run.
+  /// Refused: this submission starts nothing; see JobAnswer::not_run.
   kRefused,
 };
 
@@ -105,6 +105,9 @@
   JobId id;
   JobOutcome outcome = JobOutcome::kRefused;
   Reason reason = Reason::kNone;
+  /// For refusals: no task of the job ever ran or will run. False when the
+  /// refusing instance cannot know of other submissions of the same job.
+  bool not_run = false;
   /// For refusals: when a retry is worth it.
   Duration retry_after{0};
   /// One a task, in order; empty for refusals.
@@ -112,7 +115,7 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(id, outcome, reason, retry_after, tasks);
+    archive(id, outcome, reason, not_run, retry_after, tasks);
   }
 };
 
--- a/filbertwick/wire/message.h
+++ b/filbertwick/wire/message.h
@@ -128,8 +128,10 @@
 /// Hands one task to a sidecar.
 struct TaskOffer {
   TaskKey key;
-  /// Start of the task within its job: 1, or more for a repeatable request.
+  /// Number of the offer within the task's life; later offers are higher.
   uint32_t attempt = 1;
+  /// The task may run again though an earlier start of it is known.
+  bool repeat = false;
   ShardId shard = 0;
   Epoch epoch;
   ServiceName service;
@@ -141,18 +143,20 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(key, attempt, shard, epoch, service, digest, token, timeout,
+    archive(key, attempt, repeat, shard, epoch, service, digest, token, timeout,
             payload);
   }
 };
 
 /// Offers of one entry to one sidecar.
 struct Offers {
+  /// Incarnation of the sidecar that the tokens are from.
+  Incarnation incarnation = 0;
   std::vector<TaskOffer> offers;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(offers);
+    archive(incarnation, offers);
   }
 };
 
--- a/unit_tests/wire_test.cc
+++ b/unit_tests/wire_test.cc
@@ -23,7 +23,7 @@
   offer.epoch = {1, 7, InstanceName("entry-a")};
   offer.token = -5;
   offer.payload = std::string(300, 'x');
-  return Offers{{offer, offer}};
+  return Offers{7, {offer, offer}};
 }
 
 Message SampleProbe() {
