--- a/filbertwick/harness/control_log.h
+++ b/filbertwick/harness/control_log.h
@@ -99,6 +99,8 @@
                    uint64_t life,
                    const std::vector<wire::ControlRecord>& group,
                    bool failed);
+  /// Offset of the newest checkpoint that counts; the oldest record without.
+  wire::LogOffset NewestCheckpoint() const;
   void Write(const std::vector<wire::ControlRecord>& group);
   bool IsReachable(const InstanceName& name) const {
     return !down_ && !unreachable_.contains(name);
--- a/filbertwick/harness/observer.h
+++ b/filbertwick/harness/observer.h
@@ -119,6 +119,8 @@
     Duration answered{-1};
     /// Tasks that the answer said did not and will not run.
     std::set<uint32_t> not_run;
+    /// The answer spoke of this request alone, not of others of the job.
+    bool own_only = false;
   };
   struct Job {
     std::vector<Request> requests;
@@ -140,6 +142,11 @@
   void CheckTasks(const Job& job,
                   Request& request,
                   const wire::JobAnswer& answer);
+  static bool IsResultOf(const Job& job,
+                         const Request& request,
+                         uint32_t index,
+                         const std::string& body);
+  static bool HasOthers(const Job& job, const Request& request);
   void CheckNotRun(const Job& job, const Request& request, uint32_t index);
   void CheckDoubleStart(const Job& job,
                         const core::StartEffect& start,
--- /dev/null
+++ b/filbertwick/harness/operator_desk.cc
@@ -0,0 +1,155 @@
+#include "filbertwick/harness/operator_desk.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace filbertwick::harness {
+namespace {
+
+/// An operator's tool asks the next entry after this.
+constexpr Duration kRetry = std::chrono::milliseconds(1'500);
+/// Time between two looks at a zone that goes out.
+constexpr Duration kLook = std::chrono::milliseconds(50);
+/// Looks before the tool gives up.
+constexpr int kMaxLooks = 400;
+
+}  // namespace
+
+class OperatorDesk::Impl {
+ public:
+  Impl(World& owner, Observer& watcher, uint64_t seed)
+      : world(owner),
+        observer(watcher),
+        random(seed),
+        entries(owner.settings().deployment.NamesOf(wire::Role::kEntry)) {}
+
+  struct Change {
+    ChangeResult result;
+    wire::ControlRecord record;
+    InstanceName entry;
+  };
+
+  size_t Ask(wire::ControlBody body, const InstanceName& entry);
+  void Send(Change& change);
+  void OnAnswer(Change& change, const core::OperatorAnswerEffect* effect);
+  void Look(Change& change, int looks);
+  InstanceName PickEntry(const InstanceName& avoid);
+
+  World& world;
+  Observer& observer;
+  Random random;
+  std::vector<InstanceName> entries;
+  std::vector<std::unique_ptr<Change>> changes;
+};
+
+InstanceName OperatorDesk::Impl::PickEntry(const InstanceName& avoid) {
+  std::vector<InstanceName> ready;
+  std::ranges::copy_if(
+      entries, std::back_inserter(ready),
+      [&](const InstanceName& it) { return it != avoid && world.IsReady(it); });
+  return ready.empty() ? entries[random.Below(entries.size())]
+                       : ready[random.Below(ready.size())];
+}
+
+size_t OperatorDesk::Impl::Ask(wire::ControlBody body,
+                               const InstanceName& entry) {
+  const size_t number = changes.size();
+  Change& change = *changes.emplace_back(std::make_unique<Change>());
+  change.record.change = ChangeId(fmt::format("operator-{}", number));
+  change.record.author = AuthorName("operator");
+  change.record.written.unix_millis = world.WallMillis();
+  change.record.body = std::move(body);
+  change.result.body = change.record.body;
+  change.result.asked = world.loop().now();
+  change.entry = entry.empty() ? PickEntry(InstanceName()) : entry;
+  if (const auto* zone = std::get_if<wire::SetZone>(&change.record.body)) {
+    observer.OnZoneRequest(zone->zone, zone->out, world.loop().now());
+  }
+  Send(change);
+  return number;
+}
+
+void OperatorDesk::Impl::Send(Change& change) {
+  world.Operate(change.entry, change.record,
+                [this, &change](const core::OperatorAnswerEffect* effect) {
+                  OnAnswer(change, effect);
+                });
+  world.loop().After(kRetry, [this, &change] {
+    if (change.result.answered < Duration(0)) {
+      change.entry = PickEntry(change.entry);
+      Send(change);
+    }
+  });
+}
+
+void OperatorDesk::Impl::OnAnswer(Change& change,
+                                  const core::OperatorAnswerEffect* effect) {
+  // A broken connection is tried again by the timer.
+  if (!effect || change.result.answered >= Duration(0)) {
+    return;
+  }
+  const Duration now = world.loop().now();
+  change.result.answered = now;
+  change.result.accepted = effect->accepted;
+  change.result.text = effect->text;
+  if (const auto* zone = std::get_if<wire::SetZone>(&change.record.body)) {
+    observer.OnZoneAnswer(zone->zone, zone->out, effect->accepted, now);
+    if (zone->out && effect->accepted) {
+      Look(change, 0);
+    }
+  }
+}
+
+void OperatorDesk::Impl::Look(Change& change, int looks) {
+  const ZoneName& zone = std::get<wire::SetZone>(change.record.body).zone;
+  if (!world.FindCore(change.entry) || world.IsPaused(change.entry)) {
+    change.entry = PickEntry(change.entry);
+  } else {
+    const auto zones = world.Status(change.entry).zones;
+    const auto it = std::ranges::find(zones, zone, &core::ZoneStatus::zone);
+    if (it != zones.end() && it->out && it->certainly_out) {
+      change.result.certain = world.loop().now();
+      observer.OnCertainlyOut(zone, world.loop().now());
+      return;
+    }
+  }
+  if (looks < kMaxLooks) {
+    world.loop().After(kLook,
+                       [this, &change, looks] { Look(change, looks + 1); });
+  }
+}
+
+OperatorDesk::OperatorDesk(World& world, Observer& observer, uint64_t seed)
+    : impl_(std::make_unique<Impl>(world, observer, seed)) {}
+OperatorDesk::~OperatorDesk() = default;
+
+size_t OperatorDesk::Publish(uint64_t version,
+                             uint64_t based_on,
+                             const std::string& text,
+                             const InstanceName& entry) {
+  return impl_->Ask(wire::PublishBundle{version, based_on, text}, entry);
+}
+
+size_t OperatorDesk::SetZone(const ZoneName& zone,
+                             bool out,
+                             const InstanceName& entry) {
+  return impl_->Ask(wire::SetZone{zone, out}, entry);
+}
+
+size_t OperatorDesk::Remove(const wire::InstanceInfo& info) {
+  return impl_->Ask(wire::LeaveInstance{info.name, info.incarnation},
+                    InstanceName());
+}
+
+const ChangeResult& OperatorDesk::result(size_t change) const {
+  return impl_->changes.at(change)->result;
+}
+
+size_t OperatorDesk::size() const {
+  return impl_->changes.size();
+}
+
+}  // namespace filbertwick::harness
