--- /dev/null
+++ b/filbertwick/harness/fault_trial.cc
@@ -0,0 +1,177 @@
+#include "filbertwick/harness/fault_trial.h"
+
+#include <absl/status/status.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <memory>
+#include <set>
+#include <utility>
+
+namespace filbertwick::harness {
+namespace {
+
+constexpr Duration kBootLimit = std::chrono::seconds(8);
+/// Time with load, counted from its start.
+constexpr Duration kLoadTime = std::chrono::seconds(6);
+/// Time from the start of the load until everything is healed.
+constexpr Duration kHealAfter = std::chrono::milliseconds(7'500);
+constexpr Duration kSettleTime = std::chrono::seconds(4);
+constexpr Duration kRecoveryLimit = std::chrono::seconds(25);
+/// Clocks differ by half of what the timing settings allow, each way.
+constexpr uint32_t kClockRatePpm = 450;
+constexpr uint32_t kMaxTasks = 4;
+/// Shares of callers with each habit, and of tasks that take several seconds.
+constexpr double kImpatience = 0.15;
+constexpr double kClashes = 0.03;
+constexpr double kCancels = 0.03;
+constexpr double kStragglers = 0.02;
+constexpr double kRepeatableShare = 0.25;
+
+Duration DrawRunTime(Random& random) {
+  if (random.Chance(kStragglers)) {
+    return random.Between(std::chrono::seconds(1), std::chrono::seconds(5));
+  }
+  return random.Between(std::chrono::milliseconds(50),
+                        std::chrono::milliseconds(600));
+}
+
+TestbedSettings MakeSettings(const FaultTrialSettings& settings,
+                             Random& random) {
+  TestbedSettings made;
+  made.world.deployment = settings.deployment;
+  made.world.deployment.repeatable = random.Chance(kRepeatableShare);
+  made.world.seed = settings.seed;
+  made.world.rules = settings.rules;
+  made.world.clock_rate_ppm = kClockRatePpm;
+  made.world.hash_bytes = settings.hash_bytes;
+  made.world.trace = settings.trace;
+  made.world.make_core = settings.make_cores
+                             ? settings.make_cores(made.world.deployment)
+                             : RealCores(made.world.deployment);
+  made.world.run_time = [source = std::make_shared<Random>(random.Next())](
+                            const core::StartEffect&) {
+    return DrawRunTime(*source);
+  };
+  made.callers.impatience = kImpatience;
+  made.callers.clashes = kClashes;
+  made.callers.cancels = kCancels;
+  return made;
+}
+
+void ScheduleLoad(Testbed& testbed, double jobs_per_second, Random& random) {
+  const double mean = 1e6 / jobs_per_second;
+  double when = 0;
+  while (true) {
+    when -= mean * std::log(1.0 - random.Fraction());
+    if (when >= static_cast<double>(kLoadTime.count())) {
+      return;
+    }
+    CallerJob job;
+    job.tasks = 1 + static_cast<uint32_t>(random.Below(kMaxTasks));
+    testbed.world().loop().After(
+        Duration(static_cast<int64_t>(when)),
+        [&testbed, job] { testbed.callers().Submit(job); });
+  }
+}
+
+void ScheduleFaults(Testbed& testbed,
+                    const FaultTrialSettings& settings,
+                    const std::vector<Fault>& faults) {
+  for (size_t n = 0; n < faults.size(); ++n) {
+    if (settings.all_faults || std::ranges::count(settings.faults, n) > 0) {
+      ScheduleFault(testbed, faults[n]);
+    }
+  }
+}
+
+std::set<std::string> Promises(const FaultTrialResult& result) {
+  std::set<std::string> promises;
+  for (const Violation& violation : result.violations) {
+    promises.insert(violation.promise);
+  }
+  return promises;
+}
+
+}  // namespace
+
+absl::StatusOr<FaultTrialResult> RunFaultTrial(
+    const FaultTrialSettings& settings) {
+  Random random(settings.seed);
+  auto made = Testbed::Create(MakeSettings(settings, random));
+  if (!made.ok()) {
+    return made.status();
+  }
+  Testbed& testbed = **made;
+  FaultTrialResult result;
+  result.faults = DrawFaults(settings.deployment, settings.schedule, random);
+  if (!testbed.Boot(kBootLimit)) {
+    testbed.observer().Report("boot", "the entries are not ready",
+                              testbed.world().loop().now());
+  }
+  // Load and faults run together, then all is healed.
+  ScheduleFaults(testbed, settings, result.faults);
+  ScheduleLoad(testbed, settings.jobs_per_second, random);
+  testbed.world().Run(kHealAfter);
+  testbed.Heal();
+  testbed.world().Run(kSettleTime);
+  testbed.CheckRecovery(kRecoveryLimit);
+  result.violations = testbed.observer().violations();
+  result.jobs = testbed.callers().Counts();
+  result.late_starts = testbed.observer().late_starts();
+  result.hash = testbed.world().hash();
+  result.events = testbed.world().events();
+  return result;
+}
+
+std::vector<size_t> ShrinkFaults(const FaultTrialSettings& settings,
+                                 const FaultTrialResult& result) {
+  const std::set<std::string> wanted = Promises(result);
+  const auto breaks = [&](const std::vector<size_t>& faults) {
+    FaultTrialSettings fewer = settings;
+    fewer.all_faults = false;
+    fewer.faults = faults;
+    fewer.trace = nullptr;
+    const auto again = RunFaultTrial(fewer);
+    return again.ok() &&
+           std::ranges::any_of(again->violations, [&](const Violation& it) {
+             return wanted.contains(it.promise);
+           });
+  };
+  std::vector<size_t> faults(result.faults.size());
+  for (size_t n = 0; n < faults.size(); ++n) {
+    faults[n] = n;
+  }
+  for (size_t n = faults.size(); n-- > 0;) {
+    std::vector<size_t> fewer = faults;
+    fewer.erase(fewer.begin() + static_cast<int64_t>(n));
+    if (breaks(fewer)) {
+      faults = std::move(fewer);
+    }
+  }
+  return faults;
+}
+
+absl::Status SwitchOff(std::string_view name, core::RuleSettings& rules) {
+  const std::array<std::pair<std::string_view, bool*>, 8> switches = {{
+      {"majority", &rules.majority},
+      {"token_age", &rules.token_age},
+      {"fence_wait", &rules.fence_wait},
+      {"settled_steps", &rules.settled_steps},
+      {"restart_rule", &rules.restart_rule},
+      {"round_trip_age", &rules.round_trip_age},
+      {"digest_check", &rules.digest_check},
+      {"epoch_check", &rules.epoch_check},
+  }};
+  const auto it = std::ranges::find(switches, name,
+                                    &std::pair<std::string_view, bool*>::first);
+  if (it == switches.end()) {
+    return absl::InvalidArgumentError(fmt::format("no rule is named {}", name));
+  }
+  *it->second = false;
+  return absl::OkStatus();
+}
+
+}  // namespace filbertwick::harness
