--- /dev/null
+++ b/filbertwick/harness/scenario_functions.cc
@@ -0,0 +1,693 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+#include <utility>
+
+#include "filbertwick/core/state/control_state.h"
+#include "filbertwick/core/state/rendezvous.h"
+#include "filbertwick/harness/fault_trial.h"
+#include "filbertwick/harness/scenario_state.h"
+
+namespace filbertwick::harness {
+namespace {
+
+constexpr int kMicrosPerMilli = 1'000;
+constexpr Duration kBootLimit = std::chrono::seconds(10);
+constexpr Duration kSettleTime = std::chrono::seconds(3);
+constexpr Duration kRecoveryLimit = std::chrono::seconds(20);
+constexpr Duration kStopDeadline = std::chrono::seconds(5);
+/// Ids tried until one falls to the wanted owner.
+constexpr int kMaxIds = 10'000;
+
+/// Names of the messages, by index in wire::Message.
+constexpr std::array<std::string_view, MessageCounts::kKinds> kMessageNames = {
+    "Probe",        "ProbeReply",    "RecordsRequest", "Records",
+    "Snapshot",     "Offers",        "TaskUpdates",    "Withdraw",
+    "Settle",       "CensusRequest", "CensusReply",    "ForwardJob",
+    "ForwardQuery", "ForwardAnswer", "Handover",       "HandoverDone"};
+
+ScenarioState& State(lua_State* lua) {
+  return *static_cast<ScenarioState*>(lua_touserdata(lua, lua_upvalueindex(1)));
+}
+
+Testbed& Bed(lua_State* lua) {
+  ScenarioState& state = State(lua);
+  if (!state.testbed) {
+    luaL_error(lua, "deployment() must come first");
+  }
+  return *state.testbed;
+}
+
+Duration Millis(lua_Number millis) {
+  return Duration(static_cast<int64_t>(millis * kMicrosPerMilli));
+}
+
+void PushMillis(lua_State* lua, Duration duration) {
+  lua_pushnumber(lua,
+                 static_cast<lua_Number>(duration.count()) / kMicrosPerMilli);
+}
+
+/// The instance named by an argument, which must exist.
+InstanceName ArgInstance(lua_State* lua, int n) {
+  InstanceName name(luaL_checkstring(lua, n));
+  if (!Bed(lua).world().settings().deployment.Find(name)) {
+    luaL_error(lua, "no instance is named %s", name.value().c_str());
+  }
+  return name;
+}
+
+/// The instance named by an argument, or none when it is absent.
+InstanceName OptInstance(lua_State* lua, int n) {
+  return lua_isnoneornil(lua, n) ? InstanceName() : ArgInstance(lua, n);
+}
+
+size_t ArgJob(lua_State* lua, int n) {
+  const auto job = static_cast<size_t>(luaL_checkinteger(lua, n));
+  if (job >= Bed(lua).callers().size()) {
+    luaL_error(lua, "no job has this number");
+  }
+  return job;
+}
+
+/// Fields of a table argument, with a value for those that are absent.
+lua_Number FieldNumber(lua_State* lua,
+                       int n,
+                       const char* key,
+                       lua_Number none) {
+  if (!lua_istable(lua, n)) {
+    return none;
+  }
+  lua_getfield(lua, n, key);
+  const lua_Number value = luaL_optnumber(lua, -1, none);
+  lua_pop(lua, 1);
+  return value;
+}
+
+std::string FieldText(lua_State* lua,
+                      int n,
+                      const char* key,
+                      const char* none) {
+  if (!lua_istable(lua, n)) {
+    return none;
+  }
+  lua_getfield(lua, n, key);
+  std::string value = luaL_optstring(lua, -1, none);
+  lua_pop(lua, 1);
+  return value;
+}
+
+bool FieldBoolean(lua_State* lua, int n, const char* key) {
+  if (!lua_istable(lua, n)) {
+    return false;
+  }
+  lua_getfield(lua, n, key);
+  const bool value = lua_toboolean(lua, -1) != 0;
+  lua_pop(lua, 1);
+  return value;
+}
+
+void SetField(lua_State* lua, const char* key, const std::string& value) {
+  lua_pushstring(lua, value.c_str());
+  lua_setfield(lua, -2, key);
+}
+
+void SetField(lua_State* lua, const char* key, Duration value) {
+  PushMillis(lua, value);
+  lua_setfield(lua, -2, key);
+}
+
+void SetFlag(lua_State* lua, const char* key, bool value) {
+  lua_pushboolean(lua, value ? 1 : 0);
+  lua_setfield(lua, -2, key);
+}
+
+void SetNumber(lua_State* lua, const char* key, uint64_t value) {
+  lua_pushinteger(lua, static_cast<lua_Integer>(value));
+  lua_setfield(lua, -2, key);
+}
+
+/// Makes a deployment of the wanted shape.
+Deployment ReadDeployment(lua_State* lua) {
+  const std::string name = FieldText(lua, 1, "name", "");
+  if (!name.empty()) {
+    auto found = FindDeployment(name);
+    if (!found.ok()) {
+      luaL_error(lua, "no deployment is named %s", name.c_str());
+    }
+    return *found;
+  }
+  DeploymentSize size;
+  size.zones = static_cast<uint32_t>(FieldNumber(lua, 1, "zones", 2));
+  size.entries = static_cast<uint32_t>(FieldNumber(lua, 1, "entries", 3));
+  size.sidecars = static_cast<uint32_t>(FieldNumber(lua, 1, "sidecars", 4));
+  return MakeDeployment(size);
+}
+
+/// False loses the message: a drop rule fits and is not used up.
+bool Passes(ScenarioState& state,
+            const InstanceName& from,
+            const InstanceName& to,
+            const wire::Message& message) {
+  for (DropRule& rule : state.drops) {
+    const bool fits =
+        rule.left > 0 && (rule.from.empty() || rule.from == from) &&
+        (rule.to.empty() || rule.to == to) &&
+        (rule.kind < 0 || rule.kind == static_cast<int>(message.index()));
+    if (fits) {
+      --rule.left;
+      return false;
+    }
+  }
+  return true;
+}
+
+/// deployment{name=, zones=, entries=, sidecars=, seed=, slots=, run_time=,
+/// repeatable=, patience=, timeout=}
+int MakeBed(lua_State* lua) {
+  ScenarioState& state = State(lua);
+  TestbedSettings& settings = state.testbed_settings;
+  settings.world.deployment = ReadDeployment(lua);
+  settings.world.deployment.repeatable = FieldBoolean(lua, 1, "repeatable");
+  settings.world.deployment.slots = static_cast<uint32_t>(
+      FieldNumber(lua, 1, "slots", settings.world.deployment.slots));
+  settings.world.seed = static_cast<uint64_t>(FieldNumber(lua, 1, "seed", 1));
+  settings.world.trace = state.settings->trace;
+  settings.world.hash_bytes = true;
+  settings.world.make_core =
+      state.settings->make_cores
+          ? state.settings->make_cores(settings.world.deployment)
+          : RealCores(settings.world.deployment);
+  state.run_time = Millis(FieldNumber(lua, 1, "run_time", 200));
+  settings.world.run_time = [&state](const core::StartEffect&) {
+    return state.run_time;
+  };
+  // Callers wait for good unless the scenario says otherwise.
+  settings.callers.timeout_min = Millis(FieldNumber(lua, 1, "timeout", 60'000));
+  settings.callers.timeout_max = settings.callers.timeout_min;
+  settings.callers.patience = Millis(FieldNumber(lua, 1, "patience", 0));
+  auto made = Testbed::Create(settings);
+  if (!made.ok()) {
+    return luaL_error(lua, "%s", std::string(made.status().message()).c_str());
+  }
+  state.testbed = std::move(*made);
+  state.testbed->world().network().SetFilter(
+      [&state](const InstanceName& from, const InstanceName& to,
+               const wire::Message& message) {
+        return Passes(state, from, to, message);
+      });
+  return 0;
+}
+
+/// rule_off(name), before deployment()
+int RuleOff(lua_State* lua) {
+  ScenarioState& state = State(lua);
+  if (!SwitchOff(luaL_checkstring(lua, 1), state.testbed_settings.world.rules)
+           .ok()) {
+    return luaL_error(lua, "no rule has this name");
+  }
+  return 0;
+}
+
+/// boot(): starts all and publishes the first bundle
+int Boot(lua_State* lua) {
+  if (!Bed(lua).Boot(kBootLimit)) {
+    return luaL_error(lua, "the entries are not ready");
+  }
+  return 0;
+}
+
+/// run(ms)
+int Run(lua_State* lua) {
+  Bed(lua).world().Run(Millis(luaL_checknumber(lua, 1)));
+  return 0;
+}
+
+/// time() -> ms
+int Time(lua_State* lua) {
+  PushMillis(lua, Bed(lua).world().loop().now());
+  return 1;
+}
+
+/// submit{tasks=, entry=, id=, deadline=} -> job
+int Submit(lua_State* lua) {
+  CallerJob job;
+  job.tasks = static_cast<uint32_t>(FieldNumber(lua, 1, "tasks", 1));
+  job.id = FieldText(lua, 1, "id", "");
+  job.entry = InstanceName(FieldText(lua, 1, "entry", ""));
+  job.deadline = Millis(FieldNumber(lua, 1, "deadline", 10'000));
+  lua_pushinteger(lua,
+                  static_cast<lua_Integer>(Bed(lua).callers().Submit(job)));
+  return 1;
+}
+
+/// resubmit(job, entry)
+int Resubmit(lua_State* lua) {
+  Bed(lua).callers().Resubmit(ArgJob(lua, 1), ArgInstance(lua, 2));
+  return 0;
+}
+
+/// clash(job, entry): the same id with another body
+int Clash(lua_State* lua) {
+  Bed(lua).callers().Clash(ArgJob(lua, 1), ArgInstance(lua, 2));
+  return 0;
+}
+
+/// cancel(job, entry)
+int Cancel(lua_State* lua) {
+  Bed(lua).callers().Cancel(ArgJob(lua, 1), ArgInstance(lua, 2));
+  return 0;
+}
+
+/// answer(job) -> table or nil
+int Answer(lua_State* lua) {
+  const CallerResult& result = Bed(lua).callers().result(ArgJob(lua, 1));
+  if (!result.answer) {
+    lua_pushnil(lua);
+    return 1;
+  }
+  lua_newtable(lua);
+  SetField(lua, "outcome", std::string(wire::ToString(result.answer->outcome)));
+  SetField(lua, "reason", std::string(wire::ToString(result.answer->reason)));
+  SetFlag(lua, "not_run", result.answer->not_run);
+  SetField(lua, "after", result.answered - result.submitted);
+  lua_newtable(lua);
+  lua_Integer n = 0;
+  for (const wire::TaskResult& task : result.answer->tasks) {
+    const auto text = wire::ToString(task.outcome);
+    lua_pushlstring(lua, text.data(), text.size());
+    lua_rawseti(lua, -2, ++n);
+  }
+  lua_setfield(lua, -2, "tasks");
+  return 1;
+}
+
+/// starts(job, index) -> times the task was started; index counts from 0
+int Starts(lua_State* lua) {
+  const CallerResult& result = Bed(lua).callers().result(ArgJob(lua, 1));
+  const auto index = static_cast<uint32_t>(luaL_optinteger(lua, 2, 0));
+  lua_pushinteger(lua, Bed(lua).observer().StartsOf(result.spec.id, index));
+  return 1;
+}
+
+/// starts_in(zone) -> starts there so far, ms of the last one
+int StartsIn(lua_State* lua) {
+  const ZoneName zone(luaL_checkstring(lua, 1));
+  lua_pushinteger(lua,
+                  static_cast<lua_Integer>(Bed(lua).observer().StartsIn(zone)));
+  PushMillis(lua, Bed(lua).observer().LastStartIn(zone));
+  return 2;
+}
+
+core::ControlState FoldLog(const ControlLog& log) {
+  core::ControlState state;
+  for (const wire::ControlRecord& record : log.records()) {
+    state.Apply(record);
+  }
+  return state;
+}
+
+/// The owner of a job's shard as the log tells it.
+std::string OwnerOf(Testbed& bed, const JobId& id) {
+  const core::ControlState fold = FoldLog(bed.world().log());
+  const core::RegionState* region =
+      fold.FindRegion(bed.world().settings().deployment.region);
+  if (!region || region->epochs.empty()) {
+    return "";
+  }
+  return region->epochs[core::ShardOf(id)].owner.value();
+}
+
+/// owner(job) -> name of the entry that owns it as the log tells
+int Owner(lua_State* lua) {
+  Testbed& bed = Bed(lua);
+  const JobId id = bed.callers().result(ArgJob(lua, 1)).spec.id;
+  lua_pushstring(lua, OwnerOf(bed, id).c_str());
+  return 1;
+}
+
+/// id_owned_by(entry [, prefix]) -> a job id that falls to the entry
+int IdOwnedBy(lua_State* lua) {
+  Testbed& bed = Bed(lua);
+  const InstanceName entry = ArgInstance(lua, 1);
+  const std::string prefix = luaL_optstring(lua, 2, "job");
+  for (int n = 0; n < kMaxIds; ++n) {
+    const std::string id = fmt::format("{}-{}", prefix, n);
+    if (OwnerOf(bed, JobId(id)) == entry.value()) {
+      lua_pushstring(lua, id.c_str());
+      return 1;
+    }
+  }
+  return luaL_error(lua, "no id falls to this entry");
+}
+
+int Kill(lua_State* lua) {
+  Bed(lua).Kill(ArgInstance(lua, 1));
+  return 0;
+}
+
+int KillWorker(lua_State* lua) {
+  Bed(lua).KillWorker(ArgInstance(lua, 1));
+  return 0;
+}
+
+int Restart(lua_State* lua) {
+  const InstanceName name = ArgInstance(lua, 1);
+  Bed(lua).Kill(name);
+  Bed(lua).world().Start(name);
+  return 0;
+}
+
+/// pause(name [, "mid_step"])
+int Pause(lua_State* lua) {
+  const std::string_view how = luaL_optstring(lua, 2, "");
+  Bed(lua).world().Pause(ArgInstance(lua, 1), how == "mid_step");
+  return 0;
+}
+
+int Resume(lua_State* lua) {
+  Bed(lua).world().Resume(ArgInstance(lua, 1));
+  return 0;
+}
+
+/// stop(name [, deadline_ms])
+int Stop(lua_State* lua) {
+  const Duration deadline = Millis(luaL_optnumber(
+      lua, 2,
+      static_cast<lua_Number>(kStopDeadline.count()) / kMicrosPerMilli));
+  Bed(lua).world().Stop(ArgInstance(lua, 1), deadline);
+  return 0;
+}
+
+/// running(name) -> true while the process lives
+int Running(lua_State* lua) {
+  const bool lives = Bed(lua).world().FindCore(ArgInstance(lua, 1)) != nullptr;
+  lua_pushboolean(lua, lives ? 1 : 0);
+  return 1;
+}
+
+/// cut(from, to [, "hold"]) one way; "*" means every other instance
+int Cut(lua_State* lua) {
+  Testbed& bed = Bed(lua);
+  const std::string from = luaL_checkstring(lua, 1);
+  const std::string to = luaL_checkstring(lua, 2);
+  const bool hold = std::string_view(luaL_optstring(lua, 3, "")) == "hold";
+  if (to == "*") {
+    bed.Isolate(ArgInstance(lua, 1), true, false, hold);
+  } else if (from == "*") {
+    bed.Isolate(ArgInstance(lua, 2), false, true, hold);
+  } else {
+    bed.world().network().Cut(ArgInstance(lua, 1), ArgInstance(lua, 2), hold);
+  }
+  return 0;
+}
+
+/// heal([from, to]): one link, or all without arguments
+int Heal(lua_State* lua) {
+  if (lua_gettop(lua) == 0) {
+    Bed(lua).world().network().HealAll();
+  } else {
+    Bed(lua).world().network().Heal(ArgInstance(lua, 1), ArgInstance(lua, 2));
+  }
+  return 0;
+}
+
+/// drop{from=, to=, kind=, count=}
+int Drop(lua_State* lua) {
+  DropRule rule;
+  rule.from = InstanceName(FieldText(lua, 1, "from", ""));
+  rule.to = InstanceName(FieldText(lua, 1, "to", ""));
+  rule.left = static_cast<uint32_t>(FieldNumber(lua, 1, "count", 1));
+  const std::string kind = FieldText(lua, 1, "kind", "");
+  if (!kind.empty()) {
+    const auto it = std::ranges::find(kMessageNames, kind);
+    if (it == kMessageNames.end()) {
+      return luaL_error(lua, "no message is named %s", kind.c_str());
+    }
+    rule.kind = static_cast<int>(it - kMessageNames.begin());
+  }
+  State(lua).drops.push_back(std::move(rule));
+  return 0;
+}
+
+/// disturb{loss=, duplication=, reordering=, late=}; none ends it
+int Disturb(lua_State* lua) {
+  Disturbance link;
+  link.loss = FieldNumber(lua, 1, "loss", 0);
+  link.duplication = FieldNumber(lua, 1, "duplication", 0);
+  link.reordering = FieldNumber(lua, 1, "reordering", 0);
+  link.late = Millis(FieldNumber(lua, 1, "late", 0));
+  Bed(lua).world().network().SetDisturbance(link);
+  return 0;
+}
+
+/// log_down(flag)
+int LogDown(lua_State* lua) {
+  Bed(lua).world().log().SetDown(lua_toboolean(lua, 1) != 0);
+  return 0;
+}
+
+/// log_slow(ms)
+int LogSlow(lua_State* lua) {
+  Bed(lua).world().log().SetSlow(Millis(luaL_checknumber(lua, 1)));
+  return 0;
+}
+
+/// log_trim() -> offset of the oldest record kept
+int LogTrim(lua_State* lua) {
+  Bed(lua).world().log().Trim();
+  lua_pushinteger(lua,
+                  static_cast<lua_Integer>(Bed(lua).world().log().first()));
+  return 1;
+}
+
+/// log_unreachable(name, flag)
+int LogUnreachable(lua_State* lua) {
+  Bed(lua).world().log().SetUnreachable(ArgInstance(lua, 1),
+                                        lua_toboolean(lua, 2) != 0);
+  return 0;
+}
+
+/// log_head() -> offset after the newest record, append requests written
+int LogHead(lua_State* lua) {
+  const ControlLog& log = Bed(lua).world().log();
+  lua_pushinteger(lua, static_cast<lua_Integer>(log.head()));
+  lua_pushinteger(lua, static_cast<lua_Integer>(log.requests()));
+  return 2;
+}
+
+/// lose_answer(n)
+int LoseAnswer(lua_State* lua) {
+  Bed(lua).world().log().LoseAnswers(
+      static_cast<uint32_t>(luaL_checkinteger(lua, 1)));
+  return 0;
+}
+
+/// zone_out(zone [, entry]) -> change
+int ZoneOut(lua_State* lua) {
+  const ZoneName zone(luaL_checkstring(lua, 1));
+  const size_t change =
+      Bed(lua).operators().SetZone(zone, true, OptInstance(lua, 2));
+  lua_pushinteger(lua, static_cast<lua_Integer>(change));
+  return 1;
+}
+
+/// zone_in(zone [, entry]) -> change
+int ZoneIn(lua_State* lua) {
+  const ZoneName zone(luaL_checkstring(lua, 1));
+  const size_t change =
+      Bed(lua).operators().SetZone(zone, false, OptInstance(lua, 2));
+  lua_pushinteger(lua, static_cast<lua_Integer>(change));
+  return 1;
+}
+
+/// publish{version=, based_on=, entry=, text=} -> change
+int Publish(lua_State* lua) {
+  Testbed& bed = Bed(lua);
+  const auto version = static_cast<uint64_t>(FieldNumber(lua, 1, "version", 2));
+  const auto based_on = static_cast<uint64_t>(
+      FieldNumber(lua, 1, "based_on", static_cast<lua_Number>(version) - 1));
+  std::string text = FieldText(lua, 1, "text", "");
+  if (text.empty()) {
+    text = bed.world().settings().deployment.BundleText(version, based_on);
+  }
+  const size_t change = bed.operators().Publish(
+      version, based_on, text, InstanceName(FieldText(lua, 1, "entry", "")));
+  lua_pushinteger(lua, static_cast<lua_Integer>(change));
+  return 1;
+}
+
+/// change(number) -> table; `answered` and `certain` are ms after the request
+int Change(lua_State* lua) {
+  Testbed& bed = Bed(lua);
+  const auto number = static_cast<size_t>(luaL_checkinteger(lua, 1));
+  if (number >= bed.operators().size()) {
+    return luaL_error(lua, "no change has this number");
+  }
+  const ChangeResult& result = bed.operators().result(number);
+  lua_newtable(lua);
+  SetFlag(lua, "accepted", result.accepted);
+  SetField(lua, "text", result.text);
+  if (result.answered >= Duration(0)) {
+    SetField(lua, "answered", result.answered - result.asked);
+  }
+  if (result.certain >= Duration(0)) {
+    SetField(lua, "certain", result.certain - result.asked);
+  }
+  return 1;
+}
+
+/// leave(sidecar, flag)
+int Leave(lua_State* lua) {
+  Bed(lua).SetLeaving(ArgInstance(lua, 1), lua_toboolean(lua, 2) != 0);
+  return 0;
+}
+
+/// executor(sidecar, "normal"|"fails"|"hangs"|"dead")
+int SetExecutor(lua_State* lua) {
+  static constexpr std::array<const char*, 5> kModes = {
+      "normal", "fails", "hangs", "dead", nullptr};
+  const int mode = luaL_checkoption(lua, 2, nullptr, kModes.data());
+  Bed(lua).world().SetExecutorMode(ArgInstance(lua, 1),
+                                   static_cast<ExecutorMode>(mode));
+  return 0;
+}
+
+/// run_time(ms): of tasks that start from now on
+int RunTime(lua_State* lua) {
+  State(lua).run_time = Millis(luaL_checknumber(lua, 1));
+  return 0;
+}
+
+/// status(name) -> table
+int Status(lua_State* lua) {
+  const core::CoreStatus status = Bed(lua).world().Status(ArgInstance(lua, 1));
+  lua_newtable(lua);
+  SetNumber(lua, "offset", status.offset);
+  SetNumber(lua, "bundle", status.bundle_version);
+  SetNumber(lua, "generation", status.generation);
+  SetNumber(lua, "owned", status.shards_owned);
+  SetNumber(lua, "serving", status.shards_serving);
+  SetNumber(lua, "jobs", status.jobs_running);
+  SetNumber(lua, "waiting", status.tasks_waiting);
+  SetFlag(lua, "ready", status.ready);
+  SetFlag(lua, "evidence", status.evidence_age >= Duration(0));
+  lua_newtable(lua);
+  for (const core::ZoneStatus& zone : status.zones) {
+    SetField(lua, zone.zone.value().c_str(),
+             std::string(zone.certainly_out ? "certainly_out"
+                         : zone.out         ? "out"
+                                            : "in"));
+  }
+  lua_setfield(lua, -2, "zones");
+  return 1;
+}
+
+/// expect(condition, text)
+int Expect(lua_State* lua) {
+  ScenarioState& state = State(lua);
+  ++state.result.expectations;
+  if (lua_toboolean(lua, 1) == 0) {
+    state.result.failures.push_back(fmt::format(
+        "{}expected: {}", ScenarioPlace(lua), luaL_optstring(lua, 2, "")));
+  }
+  return 0;
+}
+
+/// expect_violation(promise): of a scenario with a rule switched off
+int ExpectViolation(lua_State* lua) {
+  ScenarioState& state = State(lua);
+  ++state.result.expectations;
+  state.expected_violations.insert(luaL_checkstring(lua, 1));
+  return 0;
+}
+
+/// recover(): heals everything and checks that work goes on
+int Recover(lua_State* lua) {
+  ++State(lua).result.expectations;
+  State(lua).run_time = std::chrono::milliseconds(100);
+  Bed(lua).Heal();
+  Bed(lua).world().Run(kSettleTime);
+  Bed(lua).CheckRecovery(kRecoveryLimit);
+  return 0;
+}
+
+/// note(text): for who runs the scenario by hand
+int Note(lua_State* lua) {
+  const ScenarioState& state = State(lua);
+  if (state.settings->print) {
+    state.settings->print(luaL_tolstring(lua, 1, nullptr));
+  }
+  return 0;
+}
+
+struct NamedFunction {
+  const char* name;
+  lua_CFunction function;
+};
+
+constexpr std::array kFunctions = {
+    NamedFunction{"deployment", MakeBed},
+    NamedFunction{"rule_off", RuleOff},
+    NamedFunction{"boot", Boot},
+    NamedFunction{"run", Run},
+    NamedFunction{"time", Time},
+    NamedFunction{"submit", Submit},
+    NamedFunction{"resubmit", Resubmit},
+    NamedFunction{"clash", Clash},
+    NamedFunction{"cancel", Cancel},
+    NamedFunction{"answer", Answer},
+    NamedFunction{"starts", Starts},
+    NamedFunction{"starts_in", StartsIn},
+    NamedFunction{"owner", Owner},
+    NamedFunction{"id_owned_by", IdOwnedBy},
+    NamedFunction{"kill", Kill},
+    NamedFunction{"kill_worker", KillWorker},
+    NamedFunction{"restart", Restart},
+    NamedFunction{"pause", Pause},
+    NamedFunction{"resume", Resume},
+    NamedFunction{"stop", Stop},
+    NamedFunction{"running", Running},
+    NamedFunction{"cut", Cut},
+    NamedFunction{"heal", Heal},
+    NamedFunction{"drop", Drop},
+    NamedFunction{"disturb", Disturb},
+    NamedFunction{"log_down", LogDown},
+    NamedFunction{"log_slow", LogSlow},
+    NamedFunction{"log_trim", LogTrim},
+    NamedFunction{"log_unreachable", LogUnreachable},
+    NamedFunction{"log_head", LogHead},
+    NamedFunction{"lose_answer", LoseAnswer},
+    NamedFunction{"zone_out", ZoneOut},
+    NamedFunction{"zone_in", ZoneIn},
+    NamedFunction{"publish", Publish},
+    NamedFunction{"change", Change},
+    NamedFunction{"leave", Leave},
+    NamedFunction{"executor", SetExecutor},
+    NamedFunction{"run_time", RunTime},
+    NamedFunction{"status", Status},
+    NamedFunction{"expect", Expect},
+    NamedFunction{"expect_violation", ExpectViolation},
+    NamedFunction{"recover", Recover},
+    NamedFunction{"note", Note},
+};
+
+}  // namespace
+
+std::string ScenarioPlace(lua_State* lua) {
+  luaL_where(lua, 1);
+  std::string place = lua_tostring(lua, -1);
+  lua_pop(lua, 1);
+  return place;
+}
+
+void RegisterScenarioFunctions(lua_State* lua, ScenarioState& state) {
+  for (const NamedFunction& it : kFunctions) {
+    lua_pushlightuserdata(lua, &state);
+    lua_pushcclosure(lua, it.function, 1);
+    lua_setglobal(lua, it.name);
+  }
+}
+
+}  // namespace filbertwick::harness
--- /dev/null
+++ b/filbertwick/harness/scenario_runner.cc
@@ -0,0 +1,90 @@
+#include "filbertwick/harness/scenario_runner.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <iterator>
+#include <lua.hpp>
+#include <set>
+#include <utility>
+
+#include "filbertwick/harness/scenario_state.h"
+
+namespace filbertwick::harness {
+namespace {
+
+/// Closes a Lua state.
+struct LuaCloser {
+  void operator()(lua_State* lua) const { lua_close(lua); }
+};
+
+/// Puts the error of a failed call, with its line, on record.
+void TakeError(lua_State* lua, ScenarioResult& result) {
+  const char* text = lua_tostring(lua, -1);
+  result.failures.emplace_back(text ? text : "an error without a text");
+  lua_pop(lua, 1);
+}
+
+/// Every broken promise is a failure unless the scenario expects it; a promise
+/// that it expects to be broken must be.
+void TakeViolations(ScenarioState& state) {
+  std::set<std::string> missing = state.expected_violations;
+  if (state.testbed) {
+    state.result.hash = state.testbed->world().hash();
+    for (const Violation& it : state.testbed->observer().violations()) {
+      if (state.expected_violations.contains(it.promise)) {
+        missing.erase(it.promise);
+        continue;
+      }
+      state.result.failures.push_back(fmt::format(
+          "{:.3f}s {}: {}", static_cast<double>(it.when.count()) / 1e6,
+          it.promise, it.text));
+    }
+  }
+  for (const std::string& promise : missing) {
+    state.result.failures.push_back(
+        fmt::format("{} was expected to be broken", promise));
+  }
+}
+
+}  // namespace
+
+ScenarioRunner::ScenarioRunner(ScenarioSettings settings)
+    : settings_(std::move(settings)) {}
+ScenarioRunner::~ScenarioRunner() = default;
+
+ScenarioResult ScenarioRunner::RunFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    ScenarioResult result;
+    result.failures.push_back(fmt::format("{} cannot be read", path));
+    return result;
+  }
+  const std::string text((std::istreambuf_iterator<char>(file)),
+                         std::istreambuf_iterator<char>());
+  return RunText(path, text);
+}
+
+ScenarioResult ScenarioRunner::RunText(const std::string& name,
+                                       const std::string& text) {
+  ScenarioState state;
+  state.settings = &settings_;
+  const std::unique_ptr<lua_State, LuaCloser> lua(luaL_newstate());
+  luaL_requiref(lua.get(), "_G", luaopen_base, 1);
+  luaL_requiref(lua.get(), LUA_TABLIBNAME, luaopen_table, 1);
+  luaL_requiref(lua.get(), LUA_STRLIBNAME, luaopen_string, 1);
+  luaL_requiref(lua.get(), LUA_MATHLIBNAME, luaopen_math, 1);
+  lua_settop(lua.get(), 0);
+  RegisterScenarioFunctions(lua.get(), state);
+  const std::string chunk = "@" + name;
+  const bool failed = luaL_loadbuffer(lua.get(), text.data(), text.size(),
+                                      chunk.c_str()) != LUA_OK ||
+                      lua_pcall(lua.get(), 0, 0, 0) != LUA_OK;
+  if (failed) {
+    TakeError(lua.get(), state.result);
+  }
+  TakeViolations(state);
+  return std::move(state.result);
+}
+
+}  // namespace filbertwick::harness
