--- /dev/null
+++ b/filbertwick/core/entry/entry_core.cc
@@ -0,0 +1,515 @@
+#include "filbertwick/core/entry/entry_core.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "filbertwick/base/hash.h"
+#include "filbertwick/core/entry/entry_context.h"
+#include "filbertwick/core/entry/handover.h"
+#include "filbertwick/core/entry/job_intake.h"
+#include "filbertwick/core/entry/job_runner.h"
+#include "filbertwick/core/entry/registrar.h"
+#include "filbertwick/core/entry/request_router.h"
+#include "filbertwick/core/entry/upstream_sync.h"
+#include "filbertwick/core/entry/zone_watch.h"
+#include "filbertwick/core/outbox.h"
+#include "filbertwick/core/policy/dispatcher.h"
+#include "filbertwick/core/state/audit.h"
+#include "filbertwick/core/state/member.h"
+#include "filbertwick/core/state/ownership.h"
+#include "filbertwick/core/state/recorder.h"
+
+namespace filbertwick::core {
+namespace {
+
+/// Longest time between two rounds of the controllers.
+constexpr Duration kRound = std::chrono::milliseconds(25);
+
+}  // namespace
+
+/// The controllers of an entry and the order in which they run.
+class EntryCore::Impl {
+ public:
+  Impl(const NodeSettings& settings, const policy::PolicySettings& policy)
+      : settings_(settings),
+        dispatcher_(policy::Dispatcher::Create(policy, settings.seed)),
+        jobs_(JobTableSettings()) {}
+
+  void Handle(const Now& now, Event event, Effects& effects) {
+    now_ = now;
+    effects_ = &effects;
+    if (!member_) {
+      Begin();
+    }
+    std::visit([this](auto& body) { On(body); }, event);
+    RunControllers();
+    runner_->Pump(now_.monotonic);
+    outbox_.Flush({}, 0, effects);
+    effects_ = nullptr;
+  }
+
+  Instant NextWakeup() const {
+    if (!member_ || urgent_) {
+      return Instant::min();
+    }
+    return std::min({round_at_, member_->NextWakeup(), runner_->NextWakeup(),
+                     router_->NextWakeup(), intake_->NextWakeup(),
+                     recorder_->NextWakeup(), handover_->NextWakeup(),
+                     dispatcher_->NextChange(now_.monotonic)});
+  }
+
+  uint64_t StateHash() const;
+  CoreStatus Status(const Now& now) const;
+
+  const wire::InstanceInfo* FindPeer(const InstanceName& name) const {
+    const auto& instances = control().instances();
+    const auto it = instances.find(name);
+    return it == instances.end() ? nullptr : &it->second;
+  }
+
+  const ControlState& control() const {
+    static const ControlState kEmpty;
+    return member_ ? member_->control() : kEmpty;
+  }
+
+ private:
+  void Begin();
+  void RunControllers();
+  void RunStop();
+  void JoinIfMissing();
+  void RecordEjections();
+  void OnFolded(wire::LogOffset offset,
+                const wire::ControlRecord& record,
+                const Verdict& verdict);
+  void OnShardLost(wire::ShardId shard);
+  void RecordTaken(std::span<const wire::ShardEpoch> shards);
+
+  void On(WakeupEvent&) {}
+  void On(MessageEvent& event);
+  void On(SubmitEvent& event);
+  void On(QueryEvent& event) { router_->Query(now_, event, *effects_); }
+  void On(CallerGoneEvent& event) { router_->OnCallerGone(event.request); }
+  void On(OperatorEvent& event);
+  void On(LogReadEvent& event);
+  void On(LogDownEvent&) {}
+  void On(AppendFailedEvent& event) {
+    recorder_->OnFailed(now_, event.change);
+  }
+  void On(StopEvent& event);
+  void On(UpstreamEvent&) {}
+  void On(ExecutionEvent&) {}
+
+  void OnMessage(const wire::Sender& from, wire::Probe& message) {
+    member_->OnProbe(now_.monotonic, from, message, *effects_);
+  }
+  void OnMessage(const wire::Sender& from, wire::ProbeReply& message) {
+    member_->OnProbeReply(now_.monotonic, from, message, *effects_);
+    urgent_ |= ownership_->serving() < ownership_->Held().size();
+  }
+  void OnMessage(const wire::Sender& from, wire::RecordsRequest& message) {
+    member_->OnRecordsRequest(from, message, *effects_);
+  }
+  void OnMessage(const wire::Sender&, wire::Records& message) {
+    member_->OnRecords(message);
+  }
+  void OnMessage(const wire::Sender&, wire::Snapshot& message) {
+    member_->OnSnapshot(message);
+  }
+  void OnMessage(const wire::Sender& from, wire::TaskUpdates& message) {
+    member_->NoteWork(from.name, message.token, message.load);
+    runner_->OnUpdates(now_.monotonic, from.name, message.updates);
+  }
+  void OnMessage(const wire::Sender& from, wire::CensusReply& message) {
+    intake_->OnCensusReply(now_, from, message);
+  }
+  void OnMessage(const wire::Sender& from, wire::ForwardJob& message) {
+    router_->OnForwardJob(now_, from, std::move(message), *effects_);
+  }
+  void OnMessage(const wire::Sender& from, wire::ForwardQuery& message) {
+    router_->OnForwardQuery(now_, from, message, *effects_);
+  }
+  void OnMessage(const wire::Sender&, wire::ForwardAnswer& message) {
+    router_->OnForwardAnswer(now_, message, *effects_);
+  }
+  void OnMessage(const wire::Sender& from, wire::Handover& message) {
+    const auto taken =
+        handover_->OnHandover(now_, from, message, *effects_);
+    RecordTaken(taken);
+    urgent_ = true;
+  }
+  void OnMessage(const wire::Sender& from, wire::HandoverDone& message) {
+    handover_->OnDone(from, message);
+  }
+  // What only sidecars take.
+  void OnMessage(const wire::Sender&, wire::Offers&) {}
+  void OnMessage(const wire::Sender&, wire::Withdraw&) {}
+  void OnMessage(const wire::Sender&, wire::Settle&) {}
+  void OnMessage(const wire::Sender&, wire::CensusRequest&) {}
+
+  NodeSettings settings_;
+  Now now_;
+  Effects* effects_ = nullptr;
+  std::unique_ptr<policy::Dispatcher> dispatcher_;
+  JobTable jobs_;
+  Outbox outbox_;
+  std::unique_ptr<Member> member_;
+  std::unique_ptr<Ownership> ownership_;
+  std::unique_ptr<EntryContext> context_;
+  std::unique_ptr<JobRunner> runner_;
+  std::unique_ptr<JobIntake> intake_;
+  std::unique_ptr<RequestRouter> router_;
+  std::unique_ptr<HandoverController> handover_;
+  std::unique_ptr<Recorder> recorder_;
+  std::unique_ptr<Registrar> registrar_;
+  std::unique_ptr<UpstreamSync> upstreams_;
+  std::unique_ptr<ZoneWatch> zones_;
+  /// Operators that wait for a change to be folded.
+  std::multimap<ChangeId, wire::RequestId> operators_;
+  /// The controllers run again before the next event.
+  bool urgent_ = false;
+  Instant round_at_ = Instant::min();
+  uint64_t takes_ = 0;
+  uint64_t joins_ = 0;
+  uint64_t ejections_ = 0;
+  bool stopping_ = false;
+  bool stopped_ = false;
+  Instant stop_by_ = Instant::max();
+};
+
+void EntryCore::Impl::Begin() {
+  MemberHooks hooks;
+  hooks.folded = [this](wire::LogOffset offset,
+                        const wire::ControlRecord& record,
+                        const Verdict& verdict) {
+    OnFolded(offset, record, verdict);
+  };
+  hooks.state_taken = [this] {
+    upstreams_->OnControl(now_.monotonic);
+    urgent_ = true;
+  };
+  hooks.replaced = [this](const InstanceName& name) {
+    upstreams_->OnReplaced(now_.monotonic, name);
+    runner_->OnSidecarLost(now_.monotonic, name);
+    urgent_ = true;
+  };
+  hooks.epoch_raised = [this] {
+    router_->RouteAllSoon();
+    urgent_ = true;
+  };
+  hooks.load = [this](const InstanceName& name, const wire::Load& load) {
+    upstreams_->OnLoad(now_.monotonic, name, load);
+  };
+  member_ = std::make_unique<Member>(settings_, std::move(hooks),
+                                     now_.monotonic);
+  OwnershipHooks ownership_hooks;
+  ownership_hooks.gained = [this](std::span<const wire::ShardId> shards) {
+    intake_->OnGained(now_, shards);
+    router_->RouteAllSoon();
+  };
+  ownership_hooks.lost = [this](wire::ShardId shard) { OnShardLost(shard); };
+  ownership_hooks.taken = [this](std::span<const wire::ShardEpoch> shards) {
+    RecordTaken(shards);
+  };
+  ownership_ =
+      std::make_unique<Ownership>(*member_, std::move(ownership_hooks));
+  context_ = std::make_unique<EntryContext>(EntryContext{
+      *member_, *ownership_, *dispatcher_, jobs_, outbox_,
+      [this](const Waiter& waiter, wire::ForwardAnswer answer) {
+        router_->Deliver(now_, waiter, std::move(answer), *effects_);
+      }});
+  runner_ = std::make_unique<JobRunner>(*context_);
+  intake_ = std::make_unique<JobIntake>(*context_, *runner_);
+  router_ = std::make_unique<RequestRouter>(*context_, *intake_);
+  handover_ =
+      std::make_unique<HandoverController>(*context_, *intake_, *runner_);
+  recorder_ = std::make_unique<Recorder>(*member_);
+  registrar_ = std::make_unique<Registrar>(*member_, *recorder_);
+  upstreams_ = std::make_unique<UpstreamSync>(*member_, *dispatcher_);
+  zones_ = std::make_unique<ZoneWatch>(*member_);
+}
+
+void EntryCore::Impl::RunControllers() {
+  const Instant at = now_.monotonic;
+  const bool round = std::exchange(urgent_, false) || at >= round_at_;
+  if (at >= member_->NextWakeup()) {
+    member_->Tick(at, *effects_);
+  }
+  if (round) {
+    round_at_ = at + kRound;
+    ownership_->Update(now_);
+    registrar_->Tick(now_, *effects_);
+    upstreams_->Tick(at);
+    zones_->Tick(at);
+    JoinIfMissing();
+    RecordEjections();
+    jobs_.Expire(at, context_->DedupeWindow());
+  }
+  recorder_->Tick(now_, *effects_);
+  handover_->Tick(now_, *effects_);
+  router_->Tick(now_, *effects_);
+  intake_->Tick(now_);
+  runner_->Tick(at);
+  if (stopping_) {
+    RunStop();
+  }
+  // News for all leave without waiting for the next round.
+  if (member_->NextWakeup() <= at) {
+    member_->Tick(at, *effects_);
+  }
+}
+
+void EntryCore::Impl::JoinIfMissing() {
+  const wire::InstanceInfo* own = FindPeer(settings_.info.name);
+  if (stopping_ || (own != nullptr && *own == settings_.info)) {
+    return;
+  }
+  const auto change = [&] {
+    return ChangeId(fmt::format("join/{}/{:016x}/{}",
+                                settings_.info.name.value(),
+                                settings_.info.incarnation, joins_));
+  };
+  // A join that was folded and undone since needs a new change id.
+  while (member_->control().HasFolded(change())) {
+    ++joins_;
+  }
+  recorder_->Append(now_, change(), wire::JoinInstance{settings_.info},
+                    *effects_);
+}
+
+void EntryCore::Impl::RecordEjections() {
+  for (policy::EjectionChange& ejection : dispatcher_->TakeEjections()) {
+    const ChangeId change(fmt::format(
+        "ejection/{}/{:016x}/{}", settings_.info.name.value(),
+        settings_.info.incarnation, ejections_++));
+    recorder_->Append(now_, change,
+                      wire::UpstreamEjection{ejection.upstream,
+                                             ejection.ejected,
+                                             std::move(ejection.why)},
+                      *effects_);
+  }
+}
+
+void EntryCore::Impl::RecordTaken(std::span<const wire::ShardEpoch> shards) {
+  if (shards.empty()) {
+    return;
+  }
+  const ChangeId change(fmt::format("take/{}/{:016x}/{}",
+                                    settings_.info.name.value(),
+                                    settings_.info.incarnation, takes_++));
+  recorder_->Append(
+      now_, change,
+      wire::TakeShards{settings_.info.region, {shards.begin(), shards.end()}},
+      *effects_);
+}
+
+void EntryCore::Impl::OnFolded(wire::LogOffset offset,
+                               const wire::ControlRecord& record,
+                               const Verdict& verdict) {
+  effects_->push_back(MakeAudit(offset, record, verdict));
+  recorder_->OnFolded(record.change);
+  const auto [begin, end] = operators_.equal_range(record.change);
+  for (auto it = begin; it != end; ++it) {
+    effects_->push_back(OperatorAnswerEffect{it->second, verdict.accepted,
+                                             offset, verdict.why});
+  }
+  operators_.erase(begin, end);
+  upstreams_->OnControl(now_.monotonic);
+  if (std::holds_alternative<wire::TakeShards>(record.body) ||
+      std::holds_alternative<wire::ResetRegion>(record.body)) {
+    router_->RouteAllSoon();
+  }
+  if (const auto* leave = std::get_if<wire::LeaveInstance>(&record.body);
+      leave != nullptr && verdict.accepted) {
+    runner_->OnSidecarLost(now_.monotonic, leave->name);
+  }
+  urgent_ = true;
+}
+
+void EntryCore::Impl::OnShardLost(wire::ShardId shard) {
+  for (const policy::JobHandle handle : jobs_.JobsOf(shard)) {
+    runner_->Disown(*jobs_.Find(handle));
+  }
+  router_->RouteAllSoon();
+}
+
+void EntryCore::Impl::On(MessageEvent& event) {
+  if (!member_->NoteSender(now_.monotonic, event.from)) {
+    return;
+  }
+  std::visit([&](auto& message) { OnMessage(event.from, message); },
+             event.message);
+}
+
+void EntryCore::Impl::On(SubmitEvent& event) {
+  if (stopping_ && !handover_->HasTarget(now_.monotonic)) {
+    wire::JobAnswer refusal;
+    refusal.id = event.spec.id;
+    refusal.reason = wire::Reason::kStopping;
+    refusal.retry_after = std::chrono::seconds(1);
+    effects_->push_back(AnswerEffect{event.request, refusal, {}});
+    return;
+  }
+  router_->Submit(now_, std::move(event), *effects_);
+}
+
+void EntryCore::Impl::On(OperatorEvent& event) {
+  // A retry of a change that is folded already gets the same verdict.
+  const ChangeId change = event.record.change;
+  if (const Verdict* verdict = member_->control().FindVerdict(change)) {
+    effects_->push_back(OperatorAnswerEffect{event.request, verdict->accepted,
+                                             member_->control().offset(),
+                                             verdict->why});
+    return;
+  }
+  operators_.emplace(change, event.request);
+  recorder_->Append(now_, std::move(event.record), *effects_);
+}
+
+void EntryCore::Impl::On(LogReadEvent& event) {
+  member_->OnLogRead(event, *effects_);
+  registrar_->OnLogRead(now_.monotonic,
+                        member_->control().offset() >= event.head);
+}
+
+void EntryCore::Impl::On(StopEvent& event) {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stop_by_ = now_.monotonic + event.deadline;
+  ownership_->StopTaking();
+  handover_->GiveAll();
+  member_->AnnounceStop();
+  urgent_ = true;
+}
+
+void EntryCore::Impl::RunStop() {
+  if (stopped_) {
+    return;
+  }
+  const bool overdue = now_.monotonic >= stop_by_;
+  const bool alone = !handover_->HasTarget(now_.monotonic);
+  const bool given = alone || ownership_->Held().empty();
+  const bool drained = given && handover_->idle() && router_->open() == 0 &&
+                       jobs_.running() == 0;
+  if (overdue) {
+    router_->AnswerAll(*effects_);
+    stopped_ = true;
+    effects_->push_back(StoppedEffect{false});
+    return;
+  }
+  if (!drained) {
+    return;
+  }
+  // Off the record last; gone from it means that all is done.
+  const wire::InstanceInfo* own = FindPeer(settings_.info.name);
+  if (own == nullptr || own->incarnation != settings_.info.incarnation) {
+    stopped_ = true;
+    effects_->push_back(StoppedEffect{true});
+    return;
+  }
+  const ChangeId change(fmt::format("leave/{}/{:016x}",
+                                    settings_.info.name.value(),
+                                    settings_.info.incarnation));
+  recorder_->Append(
+      now_, change,
+      wire::LeaveInstance{settings_.info.name, settings_.info.incarnation},
+      *effects_);
+}
+
+uint64_t EntryCore::Impl::StateHash() const {
+  if (!member_) {
+    return 0;
+  }
+  Hasher hasher;
+  hasher.Add(member_->Hash());
+  hasher.Add(ownership_->Hash());
+  hasher.Add(jobs_.Hash());
+  hasher.Add(dispatcher_->StateHash());
+  hasher.Add(router_->open());
+  hasher.Add(stopping_);
+  return hasher.digest();
+}
+
+CoreStatus EntryCore::Impl::Status(const Now& now) const {
+  CoreStatus status;
+  status.info = settings_.info;
+  if (!member_) {
+    return status;
+  }
+  const ControlState& state = member_->control();
+  const RegionState* region = member_->knowledge().region();
+  const bool evidence = member_->EvidenceHolds(now.monotonic);
+  status.offset = state.offset();
+  status.bundle_version = state.bundle_version();
+  status.generation = region == nullptr ? 0 : region->generation;
+  if (evidence) {
+    const Instant until = member_->EvidenceUntil();
+    const Duration left = until == Instant::max()
+                              ? settings_.timing.evidence_age
+                              : until - now.monotonic;
+    status.evidence_age = settings_.timing.evidence_age - left;
+  }
+  status.ready = evidence && !stopping_ && state.bundle() != nullptr;
+  status.stopping = stopping_;
+  status.shards_owned = static_cast<uint32_t>(ownership_->Held().size());
+  status.shards_serving = ownership_->serving();
+  status.jobs_running = jobs_.running();
+  status.tasks_waiting = dispatcher_->waiting();
+  for (const auto& [name, view] : member_->views()) {
+    PeerStatus peer;
+    peer.info = state.instances().at(name);
+    peer.offset = view.offset;
+    if (view.heard_at != Instant::min()) {
+      peer.age = now.monotonic - view.heard_at;
+    }
+    peer.vouches = view.vouches;
+    peer.load = view.load;
+    peer.ejected = dispatcher_->IsEjected(name);
+    status.peers.push_back(std::move(peer));
+  }
+  status.zones = zones_->Status(now.monotonic);
+  return status;
+}
+
+EntryCore::EntryCore(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+EntryCore::~EntryCore() = default;
+
+absl::StatusOr<std::unique_ptr<EntryCore>> EntryCore::Create(
+    const NodeSettings& settings,
+    const policy::PolicySettings& policy) {
+  if (settings.info.role != wire::Role::kEntry || settings.info.name.empty()) {
+    return absl::InvalidArgumentError("the settings name no entry");
+  }
+  auto impl = std::make_unique<Impl>(settings, policy);
+  return std::unique_ptr<EntryCore>(new EntryCore(std::move(impl)));
+}
+
+void EntryCore::Handle(const Now& now, Event event, Effects& effects) {
+  impl_->Handle(now, std::move(event), effects);
+}
+
+Instant EntryCore::NextWakeup() const {
+  return impl_->NextWakeup();
+}
+
+uint64_t EntryCore::StateHash() const {
+  return impl_->StateHash();
+}
+
+const wire::InstanceInfo* EntryCore::FindPeer(const InstanceName& name) const {
+  return impl_->FindPeer(name);
+}
+
+CoreStatus EntryCore::Status(const Now& now) const {
+  return impl_->Status(now);
+}
+
+const ControlState& EntryCore::control() const {
+  return impl_->control();
+}
+
+}  // namespace filbertwick::core
--- /dev/null
+++ b/filbertwick/core/entry/job_birth.h
@@ -0,0 +1,17 @@
+#ifndef FILBERTWICK_CORE_ENTRY_JOB_BIRTH_H_
+#define FILBERTWICK_CORE_ENTRY_JOB_BIRTH_H_
+
+#include <optional>
+
+#include "filbertwick/base/name.h"
+#include "filbertwick/base/time.h"
+
+namespace filbertwick::core {
+
+/// When the caller made a job id, if it is a UUIDv7 (RFC 9562) in its usual
+/// text form; nothing for any other id.
+std::optional<WallTime> BirthOf(const JobId& job);
+
+}  // namespace filbertwick::core
+
+#endif  // FILBERTWICK_CORE_ENTRY_JOB_BIRTH_H_
--- /dev/null
+++ b/filbertwick/core/entry/job_intake.cc
@@ -0,0 +1,344 @@
+#include "filbertwick/core/entry/job_intake.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+#include "filbertwick/core/entry/job_birth.h"
+#include "filbertwick/core/state/rendezvous.h"
+
+namespace filbertwick::core {
+namespace {
+
+/// Advice to callers whose job found no evidence of ownership.
+constexpr Duration kEvidenceRetryAfter = std::chrono::seconds(1);
+/// Bytes of kept answers that go along with a handover; older ones are found
+/// again at the sidecars.
+constexpr size_t kHandoverAnswerBytes = 4UL * 1024 * 1024;
+
+int64_t Millis(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+size_t AnswerBytes(const wire::JobAnswer& answer) {
+  size_t bytes = sizeof(wire::JobAnswer);
+  for (const wire::TaskResult& result : answer.tasks) {
+    bytes += result.body.size() + sizeof(wire::TaskResult);
+  }
+  return bytes;
+}
+
+}  // namespace
+
+JobIntake::JobIntake(EntryContext& context, JobRunner& runner)
+    : context_(context),
+      runner_(runner),
+      census_(
+          context,
+          runner,
+          [this](const Now& now, Job& job) { GoOn(now, job); },
+          [this](Job& job) {
+            runner_.Refuse(job, wire::Reason::kDigestMismatch, true,
+                           Duration(0));
+          }) {
+  filters_ = {
+      [this](const Now&, const auto& spec) { return CheckNames(spec); },
+      [this](const Now& now, const auto& spec) { return CheckAge(now, spec); },
+      [this](const Now& now, const auto& spec) {
+        return CheckEvidence(now, spec);
+      },
+  };
+}
+
+std::optional<Refusal> JobIntake::CheckNames(const wire::JobSpec& spec) const {
+  const bundle::Bundle* bundle = context_.member.control().bundle();
+  if (bundle == nullptr || bundle->FindService(spec.service) == nullptr) {
+    return Refusal{wire::Reason::kUnknownService, false, Duration(0)};
+  }
+  if (bundle->FindTeam(spec.team) == nullptr) {
+    return Refusal{wire::Reason::kUnknownTeam, false, Duration(0)};
+  }
+  return std::nullopt;
+}
+
+std::optional<Refusal> JobIntake::CheckAge(const Now& now,
+                                           const wire::JobSpec& spec) const {
+  // After the window nobody knows whether the key was used.
+  const auto birth = BirthOf(spec.id);
+  const int64_t kept = Millis(context_.DedupeWindow()) -
+                       Millis(context_.timing().wall_clock_skew);
+  if (birth && birth->unix_millis + kept < now.wall.unix_millis) {
+    return Refusal{wire::Reason::kExpired, false, Duration(0)};
+  }
+  return std::nullopt;
+}
+
+std::optional<Refusal> JobIntake::CheckEvidence(const Now& now,
+                                                const wire::JobSpec&) const {
+  // A short gap is waited out in the queue; a long one is told at once.
+  const Instant until = context_.member.EvidenceUntil();
+  if (until == Instant::min() ||
+      until + context_.timing().evidence_age < now.monotonic) {
+    return Refusal{wire::Reason::kNoEvidence, false, kEvidenceRetryAfter};
+  }
+  return std::nullopt;
+}
+
+std::optional<Refusal> JobIntake::Admit(const Now& now,
+                                        const wire::JobSpec& spec) const {
+  const policy::Admission admission = context_.dispatcher.Admit(
+      {spec.service, spec.team, static_cast<uint32_t>(spec.payloads.size()),
+       spec.deadline},
+      now.monotonic);
+  if (admission.reason == wire::Reason::kNone) {
+    return std::nullopt;
+  }
+  return Refusal{admission.reason, true, admission.retry_after};
+}
+
+bool JobIntake::IsFresh(const Now& now, const wire::JobSpec& spec) const {
+  const ShardTerm* term = context_.ownership.FindTerm(ShardOf(spec.id));
+  const Duration window = context_.DedupeWindow();
+  if (term == nullptr ||
+      context_.jobs.MayBeForgotten(spec.id, now.monotonic, window)) {
+    return false;
+  }
+  if (term->first_ever) {
+    return true;
+  }
+  const auto birth = BirthOf(spec.id);
+  if (!birth) {
+    // Whatever an earlier owner started is past the window by then.
+    return term->serving_since + window <= now.monotonic;
+  }
+  const int64_t skew = Millis(context_.timing().wall_clock_skew);
+  return birth->unix_millis > term->serving_since_wall.unix_millis + skew &&
+         birth->unix_millis <= now.wall.unix_millis + skew;
+}
+
+void JobIntake::Submit(const Now& now,
+                       const Waiter& waiter,
+                       wire::JobSpec spec) {
+  // A known key attaches, whatever the state of the entry.
+  if (Job* job = context_.jobs.Find(spec.id)) {
+    if (context_.member.settings().rules.digest_check &&
+        job->spec.digest != spec.digest) {
+      Answer(waiter, spec.id, {wire::Reason::kDigestMismatch, true,
+                               Duration(0)});
+      return;
+    }
+    Attach(waiter, *job);
+    return;
+  }
+  for (const SubmitFilter& filter : filters_) {
+    if (const auto refusal = filter(now, spec)) {
+      Answer(waiter, spec.id, *refusal);
+      return;
+    }
+  }
+  const bool fresh = IsFresh(now, spec);
+  if (fresh) {
+    if (const auto refusal = Admit(now, spec)) {
+      Answer(waiter, spec.id, *refusal);
+      return;
+    }
+  }
+  // From here on the key is known.
+  const wire::ShardId shard = ShardOf(spec.id);
+  const bundle::Bundle* bundle = context_.member.control().bundle();
+  Job& job = context_.jobs.Add(std::move(spec), shard, now.monotonic);
+  job.repeatable = bundle->FindService(job.spec.service)->repeatable;
+  job.waiters.push_back(waiter);
+  if (fresh) {
+    runner_.Start(now.monotonic, job);
+    return;
+  }
+  job.stage = JobStage::kCensus;
+  census_.Begin(now, job);
+}
+
+void JobIntake::Attach(const Waiter& waiter, Job& job) {
+  if (job.stage == JobStage::kEnded) {
+    wire::ForwardAnswer reply;
+    reply.request = waiter.request;
+    reply.answer = job.answer;
+    context_.answer(waiter, std::move(reply));
+    return;
+  }
+  if (std::ranges::find(job.waiters, waiter) == job.waiters.end()) {
+    job.waiters.push_back(waiter);
+  }
+}
+
+void JobIntake::GoOn(const Now& now, Job& job) {
+  const bool nothing_started =
+      std::ranges::all_of(job.tasks, [](const Task& task) {
+        return task.phase == TaskPhase::kWaiting && task.attempt == 0;
+      });
+  if (nothing_started) {
+    if (const auto refusal = Admit(now, job.spec)) {
+      runner_.Refuse(job, refusal->reason, refusal->not_run,
+                     refusal->retry_after);
+      return;
+    }
+  }
+  job.stage = JobStage::kRunning;
+  const bool failed = std::ranges::any_of(job.tasks, [](const Task& task) {
+    return task.phase == TaskPhase::kEnded &&
+           task.result.outcome != wire::TaskOutcome::kSucceeded;
+  });
+  if (failed) {
+    runner_.End(now.monotonic, job, wire::Reason::kTaskFailed);
+    return;
+  }
+  runner_.Start(now.monotonic, job);
+  runner_.FinishIfDone(now.monotonic, job);
+}
+
+void JobIntake::Answer(const Waiter& waiter,
+                       const JobId& id,
+                       const Refusal& refusal) {
+  wire::ForwardAnswer reply;
+  reply.request = waiter.request;
+  reply.answer.id = id;
+  reply.answer.reason = refusal.reason;
+  reply.answer.not_run = refusal.not_run;
+  reply.answer.retry_after = refusal.retry_after;
+  context_.answer(waiter, std::move(reply));
+}
+
+void JobIntake::Query(const Now& now,
+                      const Waiter& waiter,
+                      const JobId& id,
+                      wire::JobQuery query) {
+  Job* job = context_.jobs.Find(id);
+  if (job == nullptr) {
+    Answer(waiter, id, {wire::Reason::kUnknownJob, false, Duration(0)});
+    return;
+  }
+  if (query == wire::JobQuery::kExplain) {
+    wire::ForwardAnswer reply;
+    reply.request = waiter.request;
+    reply.answer.id = id;
+    reply.explanation = runner_.Explain(*job);
+    context_.answer(waiter, std::move(reply));
+    return;
+  }
+  Attach(waiter, *job);
+  if (query == wire::JobQuery::kCancel) {
+    census_.Cancel(job->handle);
+    runner_.End(now.monotonic, *job, wire::Reason::kCancelled);
+  }
+}
+
+void JobIntake::OnCensusReply(const Now& now,
+                              const wire::Sender& from,
+                              const wire::CensusReply& reply) {
+  census_.OnReply(now, from, reply);
+}
+
+std::vector<wire::HandoverJob> JobIntake::Export(
+    Instant now,
+    std::span<const wire::ShardEpoch> shards) {
+  std::vector<wire::HandoverJob> exported;
+  size_t answer_bytes = 0;
+  for (const wire::ShardEpoch& shard : shards) {
+    for (const policy::JobHandle handle :
+         context_.jobs.JobsOf(shard.shard) | std::views::reverse) {
+      const Job& job = *context_.jobs.Find(handle);
+      // A job whose census is open is asked for anew by the next owner.
+      if (job.stage == JobStage::kCensus) {
+        continue;
+      }
+      wire::HandoverJob item;
+      item.spec = job.spec;
+      item.remaining = job.deadline - now;
+      item.ended = job.stage == JobStage::kEnded;
+      if (item.ended) {
+        answer_bytes += AnswerBytes(job.answer);
+        if (answer_bytes > kHandoverAnswerBytes) {
+          continue;
+        }
+        item.answer = job.answer;
+      }
+      for (const Task& task : job.tasks) {
+        wire::HandoverTask state;
+        state.attempt = task.attempt;
+        state.sidecar = task.sidecar;
+        state.sidecar_incarnation = task.sidecar_incarnation;
+        state.result = task.result;
+        state.state = task.phase == TaskPhase::kWaiting
+                          ? wire::TaskState::kUnknown
+                      : task.phase == TaskPhase::kOffered
+                          ? wire::TaskState::kQueued
+                      : task.phase == TaskPhase::kStarted
+                          ? wire::TaskState::kStarted
+                          : wire::TaskState::kEnded;
+        item.tasks.push_back(std::move(state));
+      }
+      exported.push_back(std::move(item));
+    }
+  }
+  return exported;
+}
+
+Job& JobIntake::Restore(const Now& now, const wire::HandoverJob& from) {
+  const wire::ShardId shard = ShardOf(from.spec.id);
+  wire::JobSpec spec = from.spec;
+  spec.deadline = from.remaining;
+  Job& job = context_.jobs.Add(std::move(spec), shard, now.monotonic);
+  job.tasks.resize(from.tasks.size());
+  const bundle::Bundle* bundle = context_.member.control().bundle();
+  const bundle::Service* service =
+      bundle == nullptr ? nullptr : bundle->FindService(job.spec.service);
+  job.repeatable = service != nullptr && service->repeatable;
+  for (uint32_t index = 0; index < job.tasks.size(); ++index) {
+    const wire::HandoverTask& state = from.tasks[index];
+    Task& task = job.tasks[index];
+    task.attempt = state.attempt;
+    if (state.state == wire::TaskState::kEnded) {
+      task.phase = TaskPhase::kEnded;
+      task.result = state.result;
+      ++job.ended_tasks;
+    } else if (state.state != wire::TaskState::kUnknown) {
+      runner_.AdoptTask(job, index, state.sidecar, state.sidecar_incarnation,
+                        state.state == wire::TaskState::kStarted
+                            ? TaskPhase::kStarted
+                            : TaskPhase::kOffered,
+                        state.attempt, now.monotonic);
+    }
+  }
+  return job;
+}
+
+void JobIntake::Import(const Now& now,
+                       std::span<const wire::HandoverJob> jobs) {
+  for (const wire::HandoverJob& item : jobs) {
+    if (context_.jobs.Find(item.spec.id) != nullptr) {
+      continue;
+    }
+    Job& job = Restore(now, item);
+    if (item.ended) {
+      job.stage = JobStage::kEnded;
+      job.answer = item.answer;
+      context_.jobs.NoteEnded(job, now.monotonic);
+      continue;
+    }
+    job.stage = JobStage::kCensus;
+  }
+}
+
+void JobIntake::OnGained(const Now& now,
+                         std::span<const wire::ShardId> shards) {
+  for (const wire::ShardId shard : shards) {
+    for (const policy::JobHandle handle : context_.jobs.JobsOf(shard)) {
+      Job* job = context_.jobs.Find(handle);
+      if (job->stage == JobStage::kCensus) {
+        census_.BeginAtHolders(now, *job);
+      }
+    }
+  }
+}
+
+}  // namespace filbertwick::core
--- /dev/null
+++ b/filbertwick/core/entry/job_runner.cc
@@ -0,0 +1,504 @@
+#include "filbertwick/core/entry/job_runner.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "filbertwick/core/entry/start_rule.h"
+
+namespace filbertwick::core {
+namespace {
+
+/// Time until an offer without a word from its sidecar is taken back, and
+/// between two tries of a withdrawal.
+constexpr Duration kAnswerPatience = std::chrono::milliseconds(200);
+/// Time until a task that waits at its sidecar is taken back.
+constexpr Duration kQueuePatience = std::chrono::seconds(1);
+/// Longest run time of a task when the bundle no longer names its service.
+constexpr Duration kDefaultTaskTimeout = std::chrono::seconds(30);
+/// Tasks that an explanation goes into.
+constexpr size_t kExplainedTasks = 32;
+
+wire::TaskResult ResultOf(wire::TaskOutcome outcome, std::string_view text) {
+  return {outcome, std::string(text)};
+}
+
+std::string_view ToString(TaskPhase phase) {
+  switch (phase) {
+    case TaskPhase::kWaiting:
+      return "waiting";
+    case TaskPhase::kOffered:
+      return "offered";
+    case TaskPhase::kStarted:
+      return "started";
+    case TaskPhase::kEnded:
+      return "ended";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+JobRunner::JobRunner(EntryContext& context) : context_(context) {}
+
+void JobRunner::Start(Instant now, Job& job) {
+  assert(job.stage == JobStage::kRunning);
+  const policy::JobShape shape = {
+      job.spec.service, job.spec.team,
+      static_cast<uint32_t>(job.tasks.size()), job.deadline - now};
+  context_.dispatcher.AddJob(job.handle, shape, now);
+  job.registered = true;
+  for (uint32_t index = 0; index < job.tasks.size(); ++index) {
+    if (job.tasks[index].phase == TaskPhase::kWaiting) {
+      context_.dispatcher.AddTask({job.handle, index}, now);
+    }
+  }
+}
+
+void JobRunner::Pump(Instant now) {
+  while (context_.member.EvidenceHolds(now)) {
+    const auto placement = context_.dispatcher.Next(now);
+    if (!placement) {
+      return;
+    }
+    Offer(now, *placement);
+  }
+}
+
+void JobRunner::Offer(Instant now, const policy::Placement& placement) {
+  Job* job = context_.jobs.Find(placement.task.job);
+  const PeerView* view = context_.member.FindView(placement.upstream);
+  assert(job != nullptr && job->stage == JobStage::kRunning);
+  if (view == nullptr || view->token == 0 ||
+      !context_.ownership.Serves(job->shard)) {
+    context_.dispatcher.OnEnded(placement.task, policy::TaskEnd::kNotStarted,
+                                Duration(0), now);
+    return;
+  }
+  // Note the offer before it leaves.
+  const uint32_t index = placement.task.index;
+  Task& task = job->tasks[index];
+  task.phase = TaskPhase::kOffered;
+  ++task.attempt;
+  task.withdrawing = false;
+  task.sidecar = placement.upstream;
+  task.sidecar_incarnation = view->incarnation;
+  task.offered_at = now;
+  at_sidecar_[task.sidecar].insert(placement.task);
+  Expect(now + kAnswerPatience, placement.task, task);
+  // Send it with the newest token of the sidecar.
+  const bundle::Bundle* bundle = context_.member.control().bundle();
+  const bundle::Service* service =
+      bundle == nullptr ? nullptr : bundle->FindService(job->spec.service);
+  wire::TaskOffer offer;
+  offer.key = {job->spec.id, index};
+  offer.attempt = task.attempt;
+  offer.repeat = task.repeat;
+  offer.shard = job->shard;
+  offer.epoch = context_.member.knowledge().EpochOf(job->shard);
+  offer.service = job->spec.service;
+  offer.digest = job->spec.digest;
+  offer.token = view->token;
+  offer.timeout =
+      service == nullptr ? kDefaultTaskTimeout : service->task_timeout;
+  offer.payload = job->spec.payloads[index];
+  context_.outbox.AddOffer(task.sidecar, view->incarnation, std::move(offer));
+}
+
+void JobRunner::OnUpdates(Instant now,
+                          const InstanceName& sidecar,
+                          std::span<const wire::TaskUpdate> updates) {
+  for (const wire::TaskUpdate& update : updates) {
+    OnUpdate(now, sidecar, update);
+  }
+}
+
+void JobRunner::OnUpdate(Instant now,
+                         const InstanceName& sidecar,
+                         const wire::TaskUpdate& update) {
+  // The sidecar repeats an end until it hears that it is known here.
+  if (update.state == wire::TaskState::kEnded) {
+    context_.outbox.AddSettled(sidecar, update.key);
+  }
+  Job* job = context_.jobs.Find(update.key.job);
+  if (job == nullptr || job->stage == JobStage::kEnded ||
+      update.key.index >= job->tasks.size()) {
+    return;
+  }
+  Task& task = job->tasks[update.key.index];
+  const policy::TaskRef ref = {job->handle, update.key.index};
+  const bool current = task.sidecar == sidecar &&
+                       task.attempt == update.attempt &&
+                       (task.phase == TaskPhase::kOffered ||
+                        task.phase == TaskPhase::kStarted);
+  if (!current) {
+    return;
+  }
+  switch (update.state) {
+    case wire::TaskState::kQueued:
+      Expect(now + kQueuePatience, ref, task);
+      return;
+    case wire::TaskState::kStarted:
+      if (task.phase == TaskPhase::kOffered) {
+        task.phase = TaskPhase::kStarted;
+        context_.dispatcher.OnStarted(ref, now);
+      }
+      if (job->stage == JobStage::kEnding) {
+        EndTask(now, *job, ref.index,
+                ResultOf(wire::TaskOutcome::kRan, "stopped"));
+        FinishIfDone(now, *job);
+      }
+      return;
+    case wire::TaskState::kEnded: {
+      const bool succeeded =
+          update.result.outcome == wire::TaskOutcome::kSucceeded;
+      const bool lost =
+          update.result.outcome == wire::TaskOutcome::kMayHaveRun;
+      TaskCameBack(now, *job, ref.index,
+                   succeeded ? policy::TaskEnd::kSucceeded
+                   : lost    ? policy::TaskEnd::kLost
+                             : policy::TaskEnd::kFailed,
+                   update.result, update.run_time);
+      return;
+    }
+    case wire::TaskState::kRefused:
+    case wire::TaskState::kUnknown:
+      if (update.cause == wire::RefusalCause::kDigestMismatch) {
+        End(now, *job, wire::Reason::kDigestMismatch);
+      }
+      TaskCameBack(now, *job, ref.index, policy::TaskEnd::kNotStarted,
+                   ResultOf(wire::TaskOutcome::kNotRun, ""), Duration(0));
+      return;
+  }
+}
+
+void JobRunner::TaskCameBack(Instant now,
+                             Job& job,
+                             uint32_t index,
+                             policy::TaskEnd end,
+                             wire::TaskResult result,
+                             Duration run_time) {
+  Task& task = job.tasks[index];
+  const policy::TaskRef ref = {job.handle, index};
+  LeaveSidecar(ref, task);
+  context_.dispatcher.OnEnded(ref, end, run_time, now);
+  if (end == policy::TaskEnd::kNotStarted &&
+      job.stage == JobStage::kCensus) {
+    task.phase = TaskPhase::kWaiting;
+    return;
+  }
+  if (end == policy::TaskEnd::kSucceeded ||
+      job.stage != JobStage::kRunning) {
+    EndTask(now, job, index, std::move(result));
+    FinishIfDone(now, job);
+    return;
+  }
+  const StartRuling ruling = RuleOnStart(job, end);
+  const bool again =
+      ruling == StartRuling::kOfferAgain ||
+      (ruling == StartRuling::kRepeat &&
+       context_.dispatcher.TakeRetry(job.spec.service, now));
+  if (again) {
+    task.phase = TaskPhase::kWaiting;
+    task.repeat = task.repeat || ruling == StartRuling::kRepeat;
+    context_.dispatcher.AddTask(ref, now);
+    return;
+  }
+  // One task without a result fails the whole job.
+  EndTask(now, job, index, std::move(result));
+  End(now, job,
+      end == policy::TaskEnd::kLost ? wire::Reason::kWorkerLost
+                                    : wire::Reason::kTaskFailed);
+}
+
+void JobRunner::LeaveSidecar(const policy::TaskRef& ref, Task& task) {
+  const auto it = at_sidecar_.find(task.sidecar);
+  if (it != at_sidecar_.end()) {
+    it->second.erase(ref);
+  }
+  task.withdrawing = false;
+}
+
+void JobRunner::EndTask(Instant now,
+                        Job& job,
+                        uint32_t index,
+                        wire::TaskResult result) {
+  Task& task = job.tasks[index];
+  assert(task.phase != TaskPhase::kEnded);
+  LeaveSidecar({job.handle, index}, task);
+  task.phase = TaskPhase::kEnded;
+  task.ended_at = now;
+  task.result = std::move(result);
+  ++job.ended_tasks;
+}
+
+void JobRunner::End(Instant now, Job& job, wire::Reason reason) {
+  if (job.stage == JobStage::kEnding || job.stage == JobStage::kEnded) {
+    return;
+  }
+  const bool census = job.stage == JobStage::kCensus;
+  job.stage = JobStage::kEnding;
+  job.ending_at = now;
+  job.reason = reason;
+  ending_.insert(job.handle);
+  for (uint32_t index = 0; index < job.tasks.size(); ++index) {
+    Task& task = job.tasks[index];
+    if (task.phase == TaskPhase::kWaiting) {
+      context_.dispatcher.RemoveTask({job.handle, index});
+      // Before the census is complete an earlier owner may have started it.
+      EndTask(now, job, index,
+              ResultOf(census ? wire::TaskOutcome::kMayHaveRun
+                              : wire::TaskOutcome::kNotRun,
+                       ""));
+    } else if (task.phase == TaskPhase::kOffered) {
+      WithdrawTask(now, job, index, true);
+    } else if (task.phase == TaskPhase::kStarted) {
+      WithdrawTask(now, job, index, true);
+      // A task that did not end in time speaks against its upstream.
+      const auto end = reason == wire::Reason::kDeadline
+                           ? policy::TaskEnd::kLost
+                           : policy::TaskEnd::kStopped;
+      context_.dispatcher.OnEnded({job.handle, index}, end, Duration(0), now);
+      EndTask(now, job, index,
+              ResultOf(wire::TaskOutcome::kRan, "stopped"));
+    }
+  }
+  FinishIfDone(now, job);
+}
+
+void JobRunner::WithdrawTask(Instant now, Job& job, uint32_t index, bool stop) {
+  Task& task = job.tasks[index];
+  task.withdrawing = true;
+  context_.outbox.AddWithdrawal(
+      task.sidecar, {{job.spec.id, index}, task.attempt, stop});
+  Expect(now + kAnswerPatience, {job.handle, index}, task);
+}
+
+void JobRunner::FinishIfDone(Instant now, Job& job) {
+  const bool open = job.stage == JobStage::kRunning ||
+                    job.stage == JobStage::kEnding;
+  if (open && job.ended_tasks == job.tasks.size()) {
+    Finish(now, job);
+  }
+}
+
+void JobRunner::Finish(Instant now, Job& job) {
+  // Assemble the one answer, by task index.
+  wire::JobAnswer& answer = job.answer;
+  answer.id = job.spec.id;
+  for (const Task& task : job.tasks) {
+    answer.tasks.push_back(task.result);
+  }
+  const bool complete =
+      std::ranges::all_of(answer.tasks, [](const wire::TaskResult& result) {
+        return result.outcome == wire::TaskOutcome::kSucceeded;
+      });
+  answer.outcome =
+      complete ? wire::JobOutcome::kComplete : wire::JobOutcome::kFailed;
+  answer.reason = complete ? wire::Reason::kNone : job.reason;
+  // Close the books and tell all who wait.
+  if (job.registered) {
+    context_.dispatcher.RemoveJob(job.handle);
+    job.registered = false;
+  }
+  ending_.erase(job.handle);
+  job.stage = JobStage::kEnded;
+  const std::vector<Waiter> waiters = std::exchange(job.waiters, {});
+  for (const Waiter& waiter : waiters) {
+    wire::ForwardAnswer reply;
+    reply.request = waiter.request;
+    reply.answer = job.answer;
+    context_.answer(waiter, std::move(reply));
+  }
+  context_.jobs.NoteEnded(job, now);
+}
+
+void JobRunner::Drop(Job& job) {
+  for (uint32_t index = 0; index < job.tasks.size(); ++index) {
+    LeaveSidecar({job.handle, index}, job.tasks[index]);
+  }
+  if (job.registered) {
+    context_.dispatcher.RemoveJob(job.handle);
+  }
+  ending_.erase(job.handle);
+  context_.jobs.Remove(job.handle);
+}
+
+void JobRunner::Refuse(Job& job,
+                       wire::Reason reason,
+                       bool not_run,
+                       Duration retry_after) {
+  for (const Waiter& waiter : job.waiters) {
+    wire::ForwardAnswer reply;
+    reply.request = waiter.request;
+    reply.answer.id = job.spec.id;
+    reply.answer.reason = reason;
+    reply.answer.not_run = not_run;
+    reply.answer.retry_after = retry_after;
+    context_.answer(waiter, std::move(reply));
+  }
+  Drop(job);
+}
+
+void JobRunner::Disown(Job& job) {
+  for (const Waiter& waiter : job.waiters) {
+    wire::ForwardAnswer reply;
+    reply.request = waiter.request;
+    reply.not_owner = true;
+    reply.known = {job.shard,
+                   context_.member.knowledge().EpochOf(job.shard)};
+    context_.answer(waiter, std::move(reply));
+  }
+  Drop(job);
+}
+
+void JobRunner::OnSidecarLost(Instant now, const InstanceName& sidecar) {
+  const auto it = at_sidecar_.find(sidecar);
+  if (it == at_sidecar_.end()) {
+    return;
+  }
+  const std::set<policy::TaskRef> lost = std::exchange(it->second, {});
+  for (const policy::TaskRef& ref : lost) {
+    Job* job = context_.jobs.Find(ref.job);
+    if (job != nullptr && job->stage != JobStage::kEnded &&
+        job->tasks[ref.index].phase != TaskPhase::kEnded) {
+      TaskCameBack(now, *job, ref.index, policy::TaskEnd::kLost,
+                   ResultOf(wire::TaskOutcome::kMayHaveRun, "worker lost"),
+                   Duration(0));
+    }
+  }
+}
+
+void JobRunner::AdoptTask(Job& job,
+                          uint32_t index,
+                          const InstanceName& sidecar,
+                          wire::Incarnation incarnation,
+                          TaskPhase phase,
+                          uint32_t attempt,
+                          Instant now) {
+  Task& task = job.tasks[index];
+  task.phase = phase;
+  task.attempt = std::max(task.attempt, attempt);
+  task.sidecar = sidecar;
+  task.sidecar_incarnation = incarnation;
+  task.offered_at = now;
+  at_sidecar_[sidecar].insert({job.handle, index});
+  if (phase == TaskPhase::kOffered) {
+    Expect(now + kAnswerPatience, {job.handle, index}, task);
+  }
+}
+
+void JobRunner::GiveUpTask(Instant now, Job& job, uint32_t index) {
+  if (job.tasks[index].phase != TaskPhase::kEnded) {
+    EndTask(now, job, index,
+            ResultOf(wire::TaskOutcome::kMayHaveRun, "worker lost"));
+  }
+}
+
+void JobRunner::Expect(Instant at, const policy::TaskRef& ref, Task& task) {
+  task.answer_due = at;
+  expectations_.insert({at, ref});
+}
+
+void JobRunner::CheckExpectations(Instant now) {
+  while (!expectations_.empty() && expectations_.begin()->at <= now) {
+    const Expectation due = *expectations_.begin();
+    expectations_.erase(expectations_.begin());
+    Job* job = context_.jobs.Find(due.task.job);
+    if (job == nullptr || job->stage == JobStage::kEnded) {
+      continue;
+    }
+    const Task& task = job->tasks[due.task.index];
+    if (task.phase == TaskPhase::kOffered && task.answer_due == due.at) {
+      WithdrawTask(now, *job, due.task.index,
+                   job->stage == JobStage::kEnding);
+    }
+  }
+}
+
+void JobRunner::EndOverdue(Instant now) {
+  for (const policy::JobHandle handle : context_.jobs.TakeOverdue(now)) {
+    if (Job* job = context_.jobs.Find(handle)) {
+      End(now, *job, wire::Reason::kDeadline);
+    }
+  }
+}
+
+void JobRunner::GiveUpEnding(Instant now) {
+  const std::vector<policy::JobHandle> handles(ending_.begin(), ending_.end());
+  for (const policy::JobHandle handle : handles) {
+    Job* job = context_.jobs.Find(handle);
+    assert(job != nullptr);
+    if (now < job->ending_at + context_.timing().evidence_age) {
+      continue;
+    }
+    for (uint32_t index = 0; index < job->tasks.size(); ++index) {
+      GiveUpTask(now, *job, index);
+    }
+    FinishIfDone(now, *job);
+  }
+}
+
+void JobRunner::WithdrawStragglers(Instant now) {
+  for (const policy::TaskRef& ref : context_.dispatcher.TakeWithdrawals(now)) {
+    Job* job = context_.jobs.Find(ref.job);
+    if (job != nullptr && job->stage == JobStage::kRunning &&
+        job->tasks[ref.index].phase == TaskPhase::kOffered) {
+      WithdrawTask(now, *job, ref.index, false);
+    }
+  }
+}
+
+void JobRunner::Tick(Instant now) {
+  EndOverdue(now);
+  GiveUpEnding(now);
+  CheckExpectations(now);
+  WithdrawStragglers(now);
+}
+
+Instant JobRunner::NextWakeup() const {
+  Instant next = context_.jobs.NextDeadline();
+  if (!expectations_.empty()) {
+    next = std::min(next, expectations_.begin()->at);
+  }
+  for (const policy::JobHandle handle : ending_) {
+    const Job* job = context_.jobs.Find(handle);
+    next = std::min(next, job->ending_at + context_.timing().evidence_age);
+  }
+  return next;
+}
+
+std::vector<std::string> JobRunner::Explain(const Job& job) const {
+  std::vector<std::string> lines;
+  lines.push_back(fmt::format(
+      "job {}: shard {}, owner {}, service {}, team {}, {} tasks",
+      job.spec.id.value(), job.shard, context_.self().value(),
+      job.spec.service.value(), job.spec.team.value(), job.tasks.size()));
+  const auto millis = [&](Instant at) {
+    return static_cast<double>((at - job.accepted_at).count()) / 1000.0;
+  };
+  for (size_t i = 0; i < std::min(job.tasks.size(), kExplainedTasks); ++i) {
+    const Task& task = job.tasks[i];
+    std::string line = fmt::format("task {}: {}", i, ToString(task.phase));
+    if (task.attempt > 0) {
+      line += fmt::format(", offer {} to {} at +{:.1f} ms", task.attempt,
+                          task.sidecar.value(), millis(task.offered_at));
+    }
+    if (task.phase == TaskPhase::kEnded) {
+      line += fmt::format(", {} at +{:.1f} ms",
+                          wire::ToString(task.result.outcome),
+                          millis(task.ended_at));
+    }
+    lines.push_back(std::move(line));
+  }
+  if (job.stage == JobStage::kEnded) {
+    lines.push_back(fmt::format("answered {}, reason {}",
+                                wire::ToString(job.answer.outcome),
+                                wire::ToString(job.answer.reason)));
+  }
+  return lines;
+}
+
+}  // namespace filbertwick::core
--- /dev/null
+++ b/filbertwick/core/entry/registrar.cc
@@ -0,0 +1,179 @@
+#include "filbertwick/core/entry/registrar.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "filbertwick/core/state/rendezvous.h"
+
+namespace filbertwick::core {
+namespace {
+
+/// Time between the turns of two entries that would append the same record.
+constexpr Duration kTurn = std::chrono::milliseconds(250);
+
+}  // namespace
+
+Registrar::Registrar(const Member& member, Recorder& recorder)
+    : member_(member), recorder_(recorder) {}
+
+void Registrar::OnLogRead(Instant now, bool caught_up) {
+  if (caught_up) {
+    caught_up_at_ = now;
+  }
+}
+
+void Registrar::Tick(const Now& now, Effects& effects) {
+  FormGeneration(now, effects);
+  SettleStep(now, effects);
+  RemoveSilent(now, effects);
+  WriteCheckpoint(now, effects);
+}
+
+bool Registrar::HeardLately(Instant now, const PeerView& view) const {
+  return view.heard_at != Instant::min() &&
+         now - view.heard_at <= 2 * member_.settings().timing.evidence_age;
+}
+
+Duration Registrar::Turn() const {
+  std::vector<InstanceName> entries;
+  const wire::InstanceInfo& self = member_.settings().info;
+  for (const auto& [name, info] : member_.control().instances()) {
+    if (info.role == wire::Role::kEntry && info.region == self.region) {
+      entries.push_back(name);
+    }
+  }
+  const auto it = std::ranges::find(entries, self.name);
+  return kTurn * (it - entries.begin());
+}
+
+bool Registrar::MajorityIsGone(Instant now, const RegionState& region) const {
+  // Counted by name over the newest set: seen, and not able to vouch.
+  const MemberSet& set = region.sets.back();
+  const auto n = std::ranges::count_if(set.names, [&](const auto& name) {
+    if (name == member_.settings().info.name) {
+      return !member_.vouches();
+    }
+    const PeerView* view = member_.FindView(name);
+    return view != nullptr && HeardLately(now, *view) && !view->vouches;
+  });
+  return static_cast<size_t>(n) * 2 > set.names.size();
+}
+
+std::vector<wire::ResetMember> Registrar::PresentMembers(Instant now) const {
+  const wire::InstanceInfo& self = member_.settings().info;
+  std::vector<wire::ResetMember> members = {{self.name, self.incarnation}};
+  for (const auto& [name, view] : member_.views()) {
+    if (HeardLately(now, view)) {
+      members.push_back({name, view.incarnation});
+    }
+  }
+  std::ranges::sort(members, {}, &wire::ResetMember::name);
+  return members;
+}
+
+void Registrar::FormGeneration(const Now& now, Effects& effects) {
+  const TimingSettings& timing = member_.settings().timing;
+  const wire::InstanceInfo& self = member_.settings().info;
+  const RegionState* region = member_.knowledge().region();
+  const bundle::Bundle* bundle = member_.control().bundle();
+  // Only with the whole stream at hand, and once this instance is in it.
+  const auto own = member_.control().instances().find(self.name);
+  const bool on_record = own != member_.control().instances().end() &&
+                         own->second.incarnation == self.incarnation;
+  const bool caught_up =
+      caught_up_at_ != Instant::min() &&
+      now.monotonic - caught_up_at_ <= 8 * timing.evidence_age;
+  const uint32_t generation = region == nullptr ? 0 : region->generation;
+  const bool asked = bundle != nullptr && generation > 0 &&
+                     bundle->generation > generation;
+  const bool needed =
+      generation == 0 || asked || MajorityIsGone(now.monotonic, *region);
+  if (!on_record || !caught_up || !needed) {
+    needed_since_.reset();
+    return;
+  }
+  if (!needed_since_) {
+    needed_since_ = now.monotonic;
+  }
+  // Wait so that the others are heard from too, then in turn.
+  if (now.monotonic < *needed_since_ + 2 * timing.evidence_age + Turn()) {
+    return;
+  }
+  const uint32_t next = asked ? bundle->generation : generation + 1;
+  recorder_.Append(
+      now,
+      ChangeId(fmt::format("reset/{}/{}/{}", self.region.value(), next,
+                           self.name.value())),
+      wire::ResetRegion{self.region, next, PresentMembers(now.monotonic)},
+      effects);
+}
+
+void Registrar::SettleStep(const Now& now, Effects& effects) {
+  const RegionState* region = member_.knowledge().region();
+  if (region == nullptr || region->sets.size() < 2 || !member_.vouches()) {
+    carried_since_.reset();
+    return;
+  }
+  // Every epoch known here must be known to the new set as well.
+  const wire::LogOffset step = region->sets[1].since;
+  if (!member_.CarriedWhole(step)) {
+    carried_since_.reset();
+    return;
+  }
+  if (!carried_since_ || carried_step_ != step) {
+    carried_since_ = now.monotonic;
+    carried_step_ = step;
+  }
+  const TimingSettings& timing = member_.settings().timing;
+  constexpr int64_t kMillion = 1'000'000;
+  const Duration wait = 2 * timing.evidence_age;
+  const Duration margin =
+      wait * timing.clock_rate_ppm / kMillion + Duration(1);
+  if (now.monotonic < *carried_since_ + wait + margin + Turn()) {
+    return;
+  }
+  const RegionName& name = member_.settings().info.region;
+  recorder_.Append(
+      now, ChangeId(fmt::format("settle/{}/{}", name.value(), step)),
+      wire::SettleMembers{name, step}, effects);
+}
+
+void Registrar::RemoveSilent(const Now& now, Effects& effects) {
+  if (!member_.vouches() || !member_.EvidenceHolds(now.monotonic)) {
+    return;
+  }
+  const Duration patience = member_.settings().timing.forget_silent + Turn();
+  for (const auto& [name, view] : member_.views()) {
+    const Instant since = std::max(view.heard_at, member_.resumed_at());
+    if (now.monotonic - since < patience) {
+      continue;
+    }
+    const wire::Incarnation incarnation =
+        member_.control().instances().at(name).incarnation;
+    recorder_.Append(now,
+                     ChangeId(fmt::format("remove/{}/{}", name.value(),
+                                          incarnation)),
+                     wire::LeaveInstance{name, incarnation}, effects);
+  }
+}
+
+void Registrar::WriteCheckpoint(const Now& now, Effects& effects) {
+  const TimingSettings& timing = member_.settings().timing;
+  const ControlState& control = member_.control();
+  const wire::LogOffset since = control.offset() - control.checkpoint();
+  const auto turns = static_cast<uint64_t>(Turn() / kTurn);
+  const bool caught_up =
+      caught_up_at_ != Instant::min() &&
+      now.monotonic - caught_up_at_ <= 8 * timing.evidence_age;
+  // Each entry waits for a few records more than the one before it.
+  if (!caught_up || since < timing.checkpoint_records + turns) {
+    return;
+  }
+  recorder_.Append(
+      now, ChangeId(fmt::format("checkpoint/{}", control.offset())),
+      wire::Checkpoint{control.offset(), control.Encode()}, effects);
+}
+
+}  // namespace filbertwick::core
--- /dev/null
+++ b/filbertwick/core/entry/registrar.h
@@ -0,0 +1,52 @@
+#ifndef FILBERTWICK_CORE_ENTRY_REGISTRAR_H_
+#define FILBERTWICK_CORE_ENTRY_REGISTRAR_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "filbertwick/core/effect.h"
+#include "filbertwick/core/event.h"
+#include "filbertwick/core/state/member.h"
+#include "filbertwick/core/state/recorder.h"
+
+namespace filbertwick::core {
+
+/// Keeps the record of who is a member: forms a generation when none can hold
+/// a majority, settles steps of membership, takes silent instances off the
+/// record and writes checkpoints. Every entry does it; the stream's order and
+/// common change ids let one of them win.
+class Registrar {
+ public:
+  /// A registrar over `member` and `recorder`, which must outlive it.
+  Registrar(const Member& member, Recorder& recorder);
+
+  /// The head of the stream was read; `caught_up` when all of it is folded.
+  void OnLogRead(Instant now, bool caught_up);
+  /// Looks at everything.
+  void Tick(const Now& now, Effects& effects);
+
+ private:
+  void FormGeneration(const Now& now, Effects& effects);
+  bool MajorityIsGone(Instant now, const RegionState& region) const;
+  std::vector<wire::ResetMember> PresentMembers(Instant now) const;
+  void SettleStep(const Now& now, Effects& effects);
+  void RemoveSilent(const Now& now, Effects& effects);
+  void WriteCheckpoint(const Now& now, Effects& effects);
+  Duration Turn() const;
+  bool HeardLately(Instant now, const PeerView& view) const;
+
+  const Member& member_;
+  Recorder& recorder_;
+  /// When the stream was last known to be folded to its head.
+  Instant caught_up_at_ = Instant::min();
+  /// Since when a new generation has been needed.
+  std::optional<Instant> needed_since_;
+  /// Since when the step to be settled has been carried.
+  std::optional<Instant> carried_since_;
+  wire::LogOffset carried_step_ = 0;
+};
+
+}  // namespace filbertwick::core
+
+#endif  // FILBERTWICK_CORE_ENTRY_REGISTRAR_H_
--- /dev/null
+++ b/filbertwick/core/entry/request_router.cc
@@ -0,0 +1,351 @@
+#include "filbertwick/core/entry/request_router.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "filbertwick/core/state/rendezvous.h"
+
+namespace filbertwick::core {
+namespace {
+
+/// Time until a request without an answer is sent to the owner again, in case
+/// the message or its answer was lost.
+constexpr Duration kResend = std::chrono::milliseconds(250);
+/// Time until an owner that does not serve yet is looked at again.
+constexpr Duration kLookAgain = std::chrono::milliseconds(20);
+/// Time past its deadline that a job gets to end in order.
+constexpr Duration kDeadlineGrace = std::chrono::milliseconds(1500);
+/// Time a question is tried for.
+constexpr Duration kQueryPatience = std::chrono::seconds(5);
+/// Time a fetch waits for a running job to end.
+constexpr Duration kFetchPatience = std::chrono::seconds(60);
+/// Open requests of one entry; more are refused.
+constexpr size_t kMaxOpen = 100'000;
+
+}  // namespace
+
+RequestRouter::RequestRouter(EntryContext& context, JobIntake& intake)
+    : context_(context), intake_(intake) {}
+
+RegionName RequestRouter::HomeOf(const TeamName& team) const {
+  const bundle::Bundle* bundle = context_.member.control().bundle();
+  const bundle::Team* found =
+      bundle == nullptr ? nullptr : bundle->FindTeam(team);
+  const RegionName& own = context_.member.settings().info.region;
+  return found == nullptr || found->home_region.empty() ? own
+                                                        : found->home_region;
+}
+
+void RequestRouter::Submit(const Now& now,
+                           SubmitEvent event,
+                           Effects& effects) {
+  Open open;
+  open.is_job = true;
+  open.id = event.spec.id;
+  open.region = HomeOf(event.spec.team);
+  open.give_up = now.monotonic + event.spec.deadline + kDeadlineGrace;
+  open.spec = std::move(event.spec);
+  Add(now, event.request, std::move(open), effects);
+}
+
+void RequestRouter::Query(const Now& now,
+                          const QueryEvent& event,
+                          Effects& effects) {
+  Open open;
+  open.id = event.job;
+  open.query = event.query;
+  open.region = context_.member.settings().info.region;
+  open.give_up = now.monotonic + (event.query == wire::JobQuery::kFetch
+                                      ? kFetchPatience
+                                      : kQueryPatience);
+  Add(now, event.request, std::move(open), effects);
+}
+
+void RequestRouter::Add(const Now& now,
+                        wire::RequestId request,
+                        Open open,
+                        Effects& effects) {
+  Open& added = open_[request] = std::move(open);
+  Schedule(request, added, added.give_up);
+  if (open_.size() > kMaxOpen) {
+    wire::ForwardAnswer refusal;
+    refusal.answer.id = added.id;
+    refusal.answer.reason = wire::Reason::kOverloaded;
+    refusal.answer.retry_after = kQueryPatience;
+    Close(request, refusal, effects);
+    return;
+  }
+  Route(now, request, added, effects);
+}
+
+void RequestRouter::Route(const Now& now,
+                          wire::RequestId request,
+                          Open& open,
+                          Effects& effects) {
+  if (open.region != context_.member.settings().info.region) {
+    RouteToRegion(now, request, open, effects);
+    return;
+  }
+  const wire::ShardId shard = ShardOf(open.id);
+  const wire::Epoch& epoch = context_.member.knowledge().EpochOf(shard);
+  if (context_.ownership.Serves(shard)) {
+    Schedule(request, open, open.give_up);
+    open.sent_to = context_.self();
+    open.sent_epoch = epoch;
+    ++open.sends;
+    const Waiter waiter = {context_.self(), request};
+    if (open.is_job) {
+      // The copy stays for the case that another entry takes the shard.
+      intake_.Submit(now, waiter, open.spec);
+    } else {
+      const JobId id = open.id;
+      intake_.Query(now, waiter, id, open.query);
+    }
+    return;
+  }
+  Schedule(request, open, now.monotonic + kLookAgain);
+  if (!epoch.owner.empty() && epoch.owner != context_.self()) {
+    Schedule(request, open, now.monotonic + kResend);
+    open.sent_epoch = epoch;
+    Send(epoch.owner, request, open, effects);
+  }
+}
+
+void RequestRouter::RouteToRegion(const Now& now,
+                                  wire::RequestId request,
+                                  Open& open,
+                                  Effects& effects) {
+  std::vector<InstanceName> entries;
+  for (const auto& [name, info] : context_.member.control().instances()) {
+    if (info.role == wire::Role::kEntry && info.region == open.region) {
+      entries.push_back(name);
+    }
+  }
+  Schedule(request, open, now.monotonic + kResend);
+  if (!entries.empty()) {
+    // Another entry at each try, in case one is lost.
+    const auto order = RendezvousOrder(entries, open.id.value());
+    Send(order[open.sends % order.size()], request, open, effects);
+  }
+}
+
+void RequestRouter::Send(const InstanceName& to,
+                         wire::RequestId request,
+                         Open& open,
+                         Effects& effects) {
+  ++open.sends;
+  open.sent_to = to;
+  const wire::ShardId shard = ShardOf(open.id);
+  if (open.is_job) {
+    effects.push_back(
+        SendEffect{to, wire::ForwardJob{request, shard, open.spec}});
+  } else {
+    effects.push_back(SendEffect{
+        to, wire::ForwardQuery{request, shard, open.id, open.query}});
+  }
+}
+
+void RequestRouter::OnForwardJob(const Now& now,
+                                 const wire::Sender& from,
+                                 wire::ForwardJob job,
+                                 Effects& effects) {
+  const Waiter waiter = {from.name, job.request};
+  const RegionName home = HomeOf(job.spec.team);
+  const auto it = context_.member.control().instances().find(from.name);
+  const bool from_elsewhere =
+      it != context_.member.control().instances().end() &&
+      it->second.region != context_.member.settings().info.region;
+  if (context_.ownership.Serves(job.shard)) {
+    intake_.Submit(now, waiter, std::move(job.spec));
+    return;
+  }
+  if (!from_elsewhere) {
+    wire::ForwardAnswer answer;
+    answer.request = job.request;
+    answer.not_owner = true;
+    answer.known = {job.shard,
+                    context_.member.knowledge().EpochOf(job.shard)};
+    effects.push_back(SendEffect{from.name, std::move(answer)});
+    return;
+  }
+  // From another region: this entry looks for the owner itself.
+  const bool open_already =
+      std::ranges::any_of(open_, [&](const auto& item) {
+        return item.second.origin == waiter;
+      });
+  if (open_already) {
+    return;
+  }
+  Open open;
+  open.origin = waiter;
+  open.is_job = true;
+  open.id = job.spec.id;
+  open.region = home;
+  open.give_up = now.monotonic + job.spec.deadline + kDeadlineGrace;
+  open.spec = std::move(job.spec);
+  Add(now, next_passed_on_++, std::move(open), effects);
+}
+
+void RequestRouter::OnForwardQuery(const Now& now,
+                                   const wire::Sender& from,
+                                   const wire::ForwardQuery& query,
+                                   Effects& effects) {
+  if (context_.ownership.Serves(query.shard)) {
+    intake_.Query(now, {from.name, query.request}, query.job, query.query);
+    return;
+  }
+  wire::ForwardAnswer answer;
+  answer.request = query.request;
+  answer.not_owner = true;
+  answer.known = {query.shard,
+                  context_.member.knowledge().EpochOf(query.shard)};
+  effects.push_back(SendEffect{from.name, std::move(answer)});
+}
+
+void RequestRouter::OnForwardAnswer(const Now& now,
+                                    const wire::ForwardAnswer& answer,
+                                    Effects& effects) {
+  const auto it = open_.find(answer.request);
+  if (it == open_.end()) {
+    return;
+  }
+  if (!answer.not_owner) {
+    Close(answer.request, answer, effects);
+    return;
+  }
+  Open& open = it->second;
+  if (open.region == context_.member.settings().info.region) {
+    context_.member.LearnEpoch(answer.known.shard, answer.known.epoch);
+  }
+  const wire::Epoch& epoch =
+      context_.member.knowledge().EpochOf(ShardOf(open.id));
+  if (epoch != open.sent_epoch) {
+    Route(now, answer.request, open, effects);
+  } else {
+    Schedule(answer.request, open, now.monotonic + kLookAgain);
+  }
+}
+
+void RequestRouter::Deliver(const Now& now,
+                            const Waiter& waiter,
+                            wire::ForwardAnswer answer,
+                            Effects& effects) {
+  if (waiter.entry != context_.self()) {
+    effects.push_back(SendEffect{waiter.entry, std::move(answer)});
+    return;
+  }
+  if (!answer.not_owner) {
+    Close(waiter.request, answer, effects);
+    return;
+  }
+  const auto it = open_.find(waiter.request);
+  if (it != open_.end()) {
+    Schedule(waiter.request, it->second, now.monotonic);
+  }
+}
+
+void RequestRouter::Close(wire::RequestId request,
+                          const wire::ForwardAnswer& answer,
+                          Effects& effects) {
+  const auto it = open_.find(request);
+  if (it == open_.end()) {
+    return;
+  }
+  const Open open = std::move(it->second);
+  due_.erase({open.due, request});
+  open_.erase(it);
+  if (open.origin) {
+    wire::ForwardAnswer passed_on = answer;
+    passed_on.request = open.origin->request;
+    effects.push_back(SendEffect{open.origin->entry, std::move(passed_on)});
+    return;
+  }
+  effects.push_back(AnswerEffect{request, answer.answer, answer.explanation});
+}
+
+void RequestRouter::GiveUp(wire::RequestId request,
+                           const Open& open,
+                           Effects& effects) {
+  wire::ForwardAnswer answer;
+  answer.answer.id = open.id;
+  if (open.is_job && open.sends > 0) {
+    // Some owner may have started it.
+    answer.answer.outcome = wire::JobOutcome::kFailed;
+    answer.answer.reason = wire::Reason::kWorkerLost;
+    answer.answer.tasks.resize(open.spec.payloads.size());
+    for (wire::TaskResult& result : answer.answer.tasks) {
+      result.outcome = wire::TaskOutcome::kMayHaveRun;
+    }
+  } else {
+    answer.answer.reason =
+        open.region == context_.member.settings().info.region
+            ? wire::Reason::kNoEvidence
+            : wire::Reason::kOtherRegionCutOff;
+    answer.answer.retry_after = std::chrono::seconds(1);
+  }
+  Close(request, answer, effects);
+}
+
+void RequestRouter::OnCallerGone(wire::RequestId request) {
+  const auto it = open_.find(request);
+  if (it != open_.end()) {
+    due_.erase({it->second.due, request});
+    open_.erase(it);
+  }
+}
+
+void RequestRouter::Schedule(wire::RequestId request, Open& open, Instant at) {
+  due_.erase({open.due, request});
+  open.due = std::min(at, open.give_up);
+  due_.insert({open.due, request});
+}
+
+void RequestRouter::Tick(const Now& now, Effects& effects) {
+  // After a change of owners every request may belong elsewhere.
+  if (std::exchange(route_all_, false)) {
+    for (auto& [request, open] : open_) {
+      if (open.sent_epoch !=
+          context_.member.knowledge().EpochOf(ShardOf(open.id))) {
+        Schedule(request, open, now.monotonic);
+      }
+    }
+  }
+  std::vector<wire::RequestId> due;
+  for (const Due& item : due_) {
+    if (item.at > now.monotonic) {
+      break;
+    }
+    due.push_back(item.request);
+  }
+  for (const wire::RequestId request : due) {
+    const auto it = open_.find(request);
+    if (it == open_.end()) {
+      continue;
+    }
+    if (it->second.give_up <= now.monotonic) {
+      const Open open = it->second;
+      GiveUp(request, open, effects);
+    } else {
+      Route(now, request, it->second, effects);
+    }
+  }
+}
+
+Instant RequestRouter::NextWakeup() const {
+  if (route_all_) {
+    return Instant::min();
+  }
+  return due_.empty() ? Instant::max() : due_.begin()->at;
+}
+
+void RequestRouter::AnswerAll(Effects& effects) {
+  while (!open_.empty()) {
+    const auto it = open_.begin();
+    const Open open = it->second;
+    GiveUp(it->first, open, effects);
+  }
+}
+
+}  // namespace filbertwick::core
--- /dev/null
+++ b/filbertwick/core/entry/request_router.h
@@ -0,0 +1,123 @@
+#ifndef FILBERTWICK_CORE_ENTRY_REQUEST_ROUTER_H_
+#define FILBERTWICK_CORE_ENTRY_REQUEST_ROUTER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+
+#include "filbertwick/core/effect.h"
+#include "filbertwick/core/entry/entry_context.h"
+#include "filbertwick/core/entry/job_intake.h"
+#include "filbertwick/core/event.h"
+
+namespace filbertwick::core {
+
+/// Carries each caller's request to the owner of its job's shard, again when
+/// the owner changes, and its one answer back. Sending again is safe: the
+/// owner attaches a known key to its job.
+class RequestRouter {
+ public:
+  /// A router over `context` and `intake`, which must outlive it.
+  RequestRouter(EntryContext& context, JobIntake& intake);
+
+  /// A caller's job.
+  void Submit(const Now& now, SubmitEvent event, Effects& effects);
+  /// A caller's question.
+  void Query(const Now& now, const QueryEvent& event, Effects& effects);
+  /// The caller went; its answer goes nowhere.
+  void OnCallerGone(wire::RequestId request);
+
+  /// Another entry passes on a caller's job or question.
+  void OnForwardJob(const Now& now,
+                    const wire::Sender& from,
+                    wire::ForwardJob job,
+                    Effects& effects);
+  void OnForwardQuery(const Now& now,
+                      const wire::Sender& from,
+                      const wire::ForwardQuery& query,
+                      Effects& effects);
+  /// An owner answered.
+  void OnForwardAnswer(const Now& now,
+                       const wire::ForwardAnswer& answer,
+                       Effects& effects);
+  /// Gives an answer of a job owned here to the one who waits.
+  void Deliver(const Now& now,
+               const Waiter& waiter,
+               wire::ForwardAnswer answer,
+               Effects& effects);
+
+  /// Sends again what needs it and ends what is overdue.
+  void Tick(const Now& now, Effects& effects);
+  /// Makes every open request look for its owner at once.
+  void RouteAllSoon() { route_all_ = true; }
+  /// When Tick() is due.
+  Instant NextWakeup() const;
+  /// Ends every open request with what is known, for a stop past its deadline.
+  void AnswerAll(Effects& effects);
+  /// Open requests of callers of this entry and of other regions' entries.
+  size_t open() const { return open_.size(); }
+
+ private:
+  /// One request that waits for its answer.
+  struct Open {
+    /// Set for requests that another region's entry passed on.
+    std::optional<Waiter> origin;
+    bool is_job = false;
+    wire::JobSpec spec;
+    JobId id;
+    wire::JobQuery query = wire::JobQuery::kFetch;
+    RegionName region;
+    Instant give_up;
+    /// When it is looked at next; at give_up at the latest.
+    Instant due;
+    /// Owner it was last sent to, under this epoch.
+    InstanceName sent_to;
+    wire::Epoch sent_epoch;
+    /// How often it was sent.
+    uint32_t sends = 0;
+  };
+
+  /// An open request by the time it is looked at.
+  struct Due {
+    Instant at;
+    wire::RequestId request = 0;
+
+    friend auto operator<=>(const Due&, const Due&) = default;
+  };
+
+  void Schedule(wire::RequestId request, Open& open, Instant at);
+  void Add(const Now& now,
+           wire::RequestId request,
+           Open open,
+           Effects& effects);
+  void Route(const Now& now,
+             wire::RequestId request,
+             Open& open,
+             Effects& effects);
+  void RouteToRegion(const Now& now,
+                     wire::RequestId request,
+                     Open& open,
+                     Effects& effects);
+  void Send(const InstanceName& to,
+            wire::RequestId request,
+            Open& open,
+            Effects& effects);
+  void Close(wire::RequestId request,
+             const wire::ForwardAnswer& answer,
+             Effects& effects);
+  void GiveUp(wire::RequestId request, const Open& open, Effects& effects);
+  RegionName HomeOf(const TeamName& team) const;
+
+  EntryContext& context_;
+  JobIntake& intake_;
+  std::map<wire::RequestId, Open> open_;
+  std::set<Due> due_;
+  /// Numbers of requests that other entries passed on; apart from callers'.
+  wire::RequestId next_passed_on_ = wire::RequestId{1} << 63;
+  bool route_all_ = false;
+};
+
+}  // namespace filbertwick::core
+
+#endif  // FILBERTWICK_CORE_ENTRY_REQUEST_ROUTER_H_
--- /dev/null
+++ b/filbertwick/core/entry/upstream_sync.cc
@@ -0,0 +1,99 @@
+#include "filbertwick/core/entry/upstream_sync.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace filbertwick::core {
+namespace {
+
+/// One-way network time assumed between two zones of a region.
+constexpr Duration kOtherZoneDistance = std::chrono::microseconds(500);
+
+}  // namespace
+
+UpstreamSync::UpstreamSync(const Member& member,
+                           policy::Dispatcher& dispatcher)
+    : member_(member), dispatcher_(dispatcher) {}
+
+void UpstreamSync::OnControl(Instant now) {
+  const bundle::Bundle* bundle = member_.control().bundle();
+  if (bundle != nullptr &&
+      member_.control().bundle_version() != bundle_version_) {
+    bundle_version_ = member_.control().bundle_version();
+    dispatcher_.SetBundle(*bundle);
+  }
+  SyncZones(now);
+  SyncUpstreams(now);
+}
+
+void UpstreamSync::SyncZones(Instant now) {
+  std::set<ZoneName> out;
+  for (const auto& [zone, offset] : member_.control().zones_out()) {
+    out.insert(zone);
+  }
+  for (const ZoneName& zone : out) {
+    if (!zones_out_.contains(zone)) {
+      dispatcher_.SetZoneOut(zone, true, now);
+    }
+  }
+  for (const ZoneName& zone : zones_out_) {
+    if (!out.contains(zone)) {
+      dispatcher_.SetZoneOut(zone, false, now);
+    }
+  }
+  zones_out_ = std::move(out);
+}
+
+void UpstreamSync::SyncUpstreams(Instant now) {
+  const wire::InstanceInfo& self = member_.settings().info;
+  std::set<InstanceName> present;
+  for (const auto& [name, info] : member_.control().instances()) {
+    if (info.role != wire::Role::kSidecar || info.region != self.region) {
+      continue;
+    }
+    present.insert(name);
+    if (known_.contains(name)) {
+      continue;
+    }
+    const Duration distance =
+        info.zone == self.zone ? Duration(0) : kOtherZoneDistance;
+    dispatcher_.UpsertUpstream({name, info.service, info.zone, distance}, now);
+  }
+  for (const InstanceName& name : known_) {
+    if (!present.contains(name)) {
+      dispatcher_.RemoveUpstream(name);
+      silent_.erase(name);
+    }
+  }
+  known_ = std::move(present);
+}
+
+void UpstreamSync::OnLoad(Instant now,
+                          const InstanceName& name,
+                          const wire::Load& load) {
+  if (known_.contains(name)) {
+    silent_.erase(name);
+    dispatcher_.UpdateLoad(name, load, now);
+  }
+}
+
+void UpstreamSync::OnReplaced(Instant now, const InstanceName& name) {
+  if (known_.contains(name)) {
+    dispatcher_.UpdateLoad(name, {}, now);
+  }
+}
+
+void UpstreamSync::Tick(Instant now) {
+  const Duration patience = member_.settings().timing.evidence_age;
+  for (const InstanceName& name : known_) {
+    const PeerView* view = member_.FindView(name);
+    const bool silent =
+        view == nullptr || view->heard_at == Instant::min() ||
+        now - view->heard_at > patience;
+    if (silent && silent_.insert(name).second) {
+      dispatcher_.UpdateLoad(name, {}, now);
+    }
+  }
+}
+
+}  // namespace filbertwick::core
--- a/filbertwick/core/policy/dispatcher.h
+++ b/filbertwick/core/policy/dispatcher.h
@@ -65,8 +65,10 @@
   kFailed,
   /// Came back certainly not started: refused, withdrawn or expired.
   kNotStarted,
-  /// Its worker was lost.
+  /// Its worker was lost, or it did not end in time.
   kLost,
+  /// Its owner stopped it; says nothing about the upstream.
+  kStopped,
 };
 
 /// An upstream set aside or taken back since the last call.
--- /dev/null
+++ b/filbertwick/core/sidecar/sidecar_core.cc
@@ -0,0 +1,310 @@
+#include "filbertwick/core/sidecar/sidecar_core.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "filbertwick/base/hash.h"
+#include "filbertwick/core/outbox.h"
+#include "filbertwick/core/sidecar/task_runner.h"
+#include "filbertwick/core/state/audit.h"
+#include "filbertwick/core/state/member.h"
+#include "filbertwick/core/state/recorder.h"
+
+namespace filbertwick::core {
+namespace {
+
+/// Longest time between two rounds of the controllers.
+constexpr Duration kRound = std::chrono::milliseconds(50);
+
+}  // namespace
+
+/// The controllers of a sidecar and the order in which they run.
+class SidecarCore::Impl {
+ public:
+  explicit Impl(const NodeSettings& settings) : settings_(settings) {}
+
+  void Handle(const Now& now, Event event, Effects& effects) {
+    now_ = now;
+    effects_ = &effects;
+    if (!member_) {
+      Begin();
+    }
+    std::visit([this](auto& body) { On(body); }, event);
+    RunControllers();
+    outbox_.Flush(runner_->load(), ToMicros(now.monotonic), effects);
+    effects_ = nullptr;
+  }
+
+  Instant NextWakeup() const {
+    if (!member_) {
+      return Instant::min();
+    }
+    return std::min({round_at_, member_->NextWakeup(),
+                     runner_->NextWakeup(now_.monotonic),
+                     recorder_->NextWakeup()});
+  }
+
+  uint64_t StateHash() const {
+    Hasher hasher;
+    if (member_) {
+      hasher.Add(member_->Hash());
+      hasher.Add(runner_->Hash());
+      hasher.Add(stopping_);
+    }
+    return hasher.digest();
+  }
+
+  const wire::InstanceInfo* FindPeer(const InstanceName& name) const {
+    const auto& instances = control().instances();
+    const auto it = instances.find(name);
+    return it == instances.end() ? nullptr : &it->second;
+  }
+
+  const ControlState& control() const {
+    static const ControlState kEmpty;
+    return member_ ? member_->control() : kEmpty;
+  }
+
+  CoreStatus Status(const Now& now) const;
+
+ private:
+  void Begin();
+  void RunControllers();
+  void JoinIfMissing();
+  void RunStop();
+
+  void On(WakeupEvent&) {}
+  void On(MessageEvent& event) {
+    if (member_->NoteSender(now_.monotonic, event.from)) {
+      std::visit([&](auto& message) { OnMessage(event.from, message); },
+                 event.message);
+    }
+  }
+  void On(StopEvent& event);
+  void On(UpstreamEvent& event) {
+    runner_->OnUpstream(now_.monotonic, event, *effects_);
+  }
+  void On(ExecutionEvent& event) {
+    runner_->OnExecution(now_.monotonic, event, *effects_);
+  }
+  void On(AppendFailedEvent& event) {
+    recorder_->OnFailed(now_, event.change);
+  }
+  void On(LogReadEvent& event) { member_->OnLogRead(event, *effects_); }
+  // What only entries take.
+  void On(SubmitEvent&) {}
+  void On(QueryEvent&) {}
+  void On(CallerGoneEvent&) {}
+  void On(OperatorEvent&) {}
+  void On(LogDownEvent&) {}
+
+  void OnMessage(const wire::Sender& from, wire::Probe& message) {
+    member_->OnProbe(now_.monotonic, from, message, *effects_);
+    runner_->OnRenewal(from.name, message);
+  }
+  void OnMessage(const wire::Sender& from, wire::ProbeReply& message) {
+    member_->OnProbeReply(now_.monotonic, from, message, *effects_);
+  }
+  void OnMessage(const wire::Sender& from, wire::RecordsRequest& message) {
+    member_->OnRecordsRequest(from, message, *effects_);
+  }
+  void OnMessage(const wire::Sender&, wire::Records& message) {
+    member_->OnRecords(message);
+  }
+  void OnMessage(const wire::Sender&, wire::Snapshot& message) {
+    member_->OnSnapshot(message);
+  }
+  void OnMessage(const wire::Sender& from, wire::Offers& message) {
+    runner_->OnOffers(now_.monotonic, from, message, *effects_);
+  }
+  void OnMessage(const wire::Sender& from, wire::Withdraw& message) {
+    runner_->OnWithdraw(now_.monotonic, from, message, *effects_);
+  }
+  void OnMessage(const wire::Sender&, wire::Settle& message) {
+    runner_->OnSettle(message);
+  }
+  void OnMessage(const wire::Sender& from, wire::CensusRequest& message) {
+    runner_->OnCensus(now_.monotonic, from, message, *effects_);
+  }
+  // What only entries take.
+  void OnMessage(const wire::Sender&, wire::TaskUpdates&) {}
+  void OnMessage(const wire::Sender&, wire::CensusReply&) {}
+  void OnMessage(const wire::Sender&, wire::ForwardJob&) {}
+  void OnMessage(const wire::Sender&, wire::ForwardQuery&) {}
+  void OnMessage(const wire::Sender&, wire::ForwardAnswer&) {}
+  void OnMessage(const wire::Sender&, wire::Handover&) {}
+  void OnMessage(const wire::Sender&, wire::HandoverDone&) {}
+
+  NodeSettings settings_;
+  Now now_;
+  Effects* effects_ = nullptr;
+  Outbox outbox_;
+  std::unique_ptr<Member> member_;
+  std::unique_ptr<TaskRunner> runner_;
+  std::unique_ptr<Recorder> recorder_;
+  Instant round_at_ = Instant::min();
+  uint64_t joins_ = 0;
+  bool stopping_ = false;
+  bool stopped_ = false;
+  Instant stop_by_ = Instant::max();
+};
+
+void SidecarCore::Impl::Begin() {
+  MemberHooks hooks;
+  hooks.folded = [this](wire::LogOffset offset,
+                        const wire::ControlRecord& record,
+                        const Verdict& verdict) {
+    effects_->push_back(MakeAudit(offset, record, verdict));
+    recorder_->OnFolded(record.change);
+  };
+  hooks.state_taken = [] {};
+  hooks.replaced = [](const InstanceName&) {};
+  hooks.epoch_raised = [] {};
+  hooks.load = [](const InstanceName&, const wire::Load&) {};
+  hooks.own_load = [this] { return runner_->load(); };
+  member_ = std::make_unique<Member>(settings_, std::move(hooks),
+                                     now_.monotonic);
+  runner_ = std::make_unique<TaskRunner>(*member_, outbox_);
+  recorder_ = std::make_unique<Recorder>(*member_);
+}
+
+void SidecarCore::Impl::RunControllers() {
+  const Instant at = now_.monotonic;
+  if (at >= member_->NextWakeup()) {
+    member_->Tick(at, *effects_);
+  }
+  if (at >= round_at_) {
+    round_at_ = at + kRound;
+    JoinIfMissing();
+  }
+  recorder_->Tick(now_, *effects_);
+  runner_->Tick(at, *effects_);
+  if (stopping_) {
+    RunStop();
+  }
+}
+
+void SidecarCore::Impl::JoinIfMissing() {
+  const wire::InstanceInfo* own = FindPeer(settings_.info.name);
+  if (stopping_ || (own != nullptr && *own == settings_.info)) {
+    return;
+  }
+  const auto change = [&] {
+    return ChangeId(fmt::format("join/{}/{:016x}/{}",
+                                settings_.info.name.value(),
+                                settings_.info.incarnation, joins_));
+  };
+  // A join that was folded and undone since needs a new change id.
+  while (member_->control().HasFolded(change())) {
+    ++joins_;
+  }
+  recorder_->Append(now_, change(), wire::JoinInstance{settings_.info},
+                    *effects_);
+}
+
+void SidecarCore::Impl::On(StopEvent& event) {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stop_by_ = now_.monotonic + event.deadline;
+  runner_->Stop(now_.monotonic, *effects_);
+}
+
+void SidecarCore::Impl::RunStop() {
+  if (stopped_) {
+    return;
+  }
+  if (now_.monotonic >= stop_by_) {
+    stopped_ = true;
+    effects_->push_back(StoppedEffect{false});
+    return;
+  }
+  if (!runner_->idle()) {
+    return;
+  }
+  const wire::InstanceInfo* own = FindPeer(settings_.info.name);
+  if (own == nullptr || own->incarnation != settings_.info.incarnation) {
+    stopped_ = true;
+    effects_->push_back(StoppedEffect{true});
+    return;
+  }
+  const ChangeId change(fmt::format("leave/{}/{:016x}",
+                                    settings_.info.name.value(),
+                                    settings_.info.incarnation));
+  recorder_->Append(
+      now_, change,
+      wire::LeaveInstance{settings_.info.name, settings_.info.incarnation},
+      *effects_);
+}
+
+CoreStatus SidecarCore::Impl::Status(const Now& now) const {
+  CoreStatus status;
+  status.info = settings_.info;
+  if (!member_) {
+    return status;
+  }
+  const RegionState* region = member_->knowledge().region();
+  status.offset = control().offset();
+  status.bundle_version = control().bundle_version();
+  status.generation = region == nullptr ? 0 : region->generation;
+  status.stopping = stopping_;
+  status.ready =
+      member_->vouches() && !stopping_ && runner_->load().slots > 0;
+  status.jobs_running = runner_->load().running;
+  status.tasks_waiting = runner_->load().queued;
+  for (const auto& [name, view] : member_->views()) {
+    PeerStatus peer;
+    peer.info = control().instances().at(name);
+    peer.offset = view.offset;
+    if (view.heard_at != Instant::min()) {
+      peer.age = now.monotonic - view.heard_at;
+    }
+    peer.vouches = view.vouches;
+    status.peers.push_back(std::move(peer));
+  }
+  return status;
+}
+
+SidecarCore::SidecarCore(std::unique_ptr<Impl> impl)
+    : impl_(std::move(impl)) {}
+SidecarCore::~SidecarCore() = default;
+
+absl::StatusOr<std::unique_ptr<SidecarCore>> SidecarCore::Create(
+    const NodeSettings& settings) {
+  if (settings.info.role != wire::Role::kSidecar ||
+      settings.info.name.empty()) {
+    return absl::InvalidArgumentError("the settings name no sidecar");
+  }
+  auto impl = std::make_unique<Impl>(settings);
+  return std::unique_ptr<SidecarCore>(new SidecarCore(std::move(impl)));
+}
+
+void SidecarCore::Handle(const Now& now, Event event, Effects& effects) {
+  impl_->Handle(now, std::move(event), effects);
+}
+
+Instant SidecarCore::NextWakeup() const {
+  return impl_->NextWakeup();
+}
+
+uint64_t SidecarCore::StateHash() const {
+  return impl_->StateHash();
+}
+
+const wire::InstanceInfo* SidecarCore::FindPeer(
+    const InstanceName& name) const {
+  return impl_->FindPeer(name);
+}
+
+CoreStatus SidecarCore::Status(const Now& now) const {
+  return impl_->Status(now);
+}
+
+const ControlState& SidecarCore::control() const {
+  return impl_->control();
+}
+
+}  // namespace filbertwick::core
--- a/filbertwick/core/state/control_state.h
+++ b/filbertwick/core/state/control_state.h
@@ -39,6 +39,8 @@
   wire::LogOffset formed = 0;
   /// Incarnations that formed it, and may vouch from the start.
   std::map<InstanceName, wire::Incarnation> formers;
+  /// Names that no earlier incarnation ever bore, with the present one.
+  std::map<InstanceName, wire::Incarnation> newcomers;
   /// The settled member set, then those not settled yet, oldest first.
   std::vector<MemberSet> sets;
   /// Epoch of each shard by the stream; empty before the first reset.
@@ -46,7 +48,18 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(generation, formed, formers, sets, epochs);
+    archive(generation, formed, formers, newcomers, sets, epochs);
+  }
+};
+
+/// An instance that left or was taken off the record not long ago.
+struct Departure {
+  wire::InstanceInfo info;
+  WallTime left;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(info, left);
   }
 };
 
@@ -91,6 +104,8 @@
   const std::map<InstanceName, wire::InstanceInfo>& instances() const {
     return data_.instances;
   }
+  /// Instances that left within the dedupe window, oldest first.
+  const std::vector<Departure>& departures() const { return data_.departures; }
   /// The region, or null when nothing of it is known.
   const RegionState* FindRegion(const RegionName& name) const;
   /// True when the change was folded, accepted or refused, not long ago.
@@ -101,7 +116,8 @@
   /// Entries of the region's newest member set in the order in which they
   /// succeed an owner of the shard; the owner itself is left out.
   std::vector<InstanceName> Successors(const RegionName& region,
-                                       wire::ShardId shard) const;
+                                       wire::ShardId shard,
+                                       const InstanceName& owner) const;
 
   /// Digest of the whole state.
   uint64_t Hash() const;
@@ -129,12 +145,13 @@
     std::map<ZoneName, wire::LogOffset> zones_out;
     std::map<InstanceName, wire::InstanceInfo> instances;
     std::map<RegionName, RegionState> regions;
+    std::vector<Departure> departures;
     std::vector<FoldedChange> recent;
 
     template <typename Archive>
     void serialize(Archive& archive) {
       archive(offset, checkpoint, bundle_version, bundle_text, bundle_author,
-              zones_out, instances, regions, recent);
+              zones_out, instances, regions, departures, recent);
     }
   };
 
@@ -155,8 +172,9 @@
   Verdict Fold(const wire::ControlRecord& record,
                const wire::UpstreamEjection& ejection);
 
-  void AddMember(const RegionName& region, const InstanceName& name);
-  void RemoveMember(const RegionName& region, const InstanceName& name);
+  void NoteNewcomer(const wire::InstanceInfo& info);
+  void ChangeMembers(const wire::InstanceInfo& info, bool joins);
+  void ForgetDepartures(WallTime written);
   void Remember(const ChangeId& change, const Verdict& verdict);
 
   Data data_;
--- /dev/null
+++ b/filbertwick/core/state/member.cc
@@ -0,0 +1,373 @@
+#include "filbertwick/core/state/member.h"
+
+#include <algorithm>
+#include <cassert>
+#include <ranges>
+#include <utility>
+
+#include "filbertwick/base/hash.h"
+
+namespace filbertwick::core {
+namespace {
+
+/// Bytes of control records in one message, roughly.
+constexpr size_t kPushBytes = 256UL * 1024;
+/// Replaced incarnations that are remembered of one name.
+constexpr size_t kRetiredIncarnations = 8;
+/// Probe intervals without a tick after which the process counts as resumed.
+constexpr int kMissedTicks = 2;
+
+}  // namespace
+
+Member::Member(const NodeSettings& settings, MemberHooks hooks, Instant now)
+    : settings_(settings),
+      hooks_(std::move(hooks)),
+      born_(now),
+      resumed_at_(now),
+      ticked_at_(now),
+      knowledge_(settings.info.region),
+      evidence_(settings.info.name, settings.timing, settings.rules),
+      gate_(settings, now) {}
+
+bool Member::IsPeer(const wire::InstanceInfo& info) const {
+  return info.region == settings_.info.region &&
+         info.name != settings_.info.name;
+}
+
+bool Member::NoteSender(Instant now, const wire::Sender& from) {
+  const auto it = views_.find(from.name);
+  if (it == views_.end()) {
+    return true;
+  }
+  PeerView& view = it->second;
+  if (std::ranges::find(view.retired, from.incarnation) !=
+      view.retired.end()) {
+    return false;
+  }
+  if (view.incarnation != from.incarnation) {
+    const bool replaced = view.incarnation != 0;
+    if (replaced) {
+      view.retired.push_back(view.incarnation);
+      if (view.retired.size() > kRetiredIncarnations) {
+        view.retired.erase(view.retired.begin());
+      }
+      view.replaced_at = now;
+      view.vouches = false;
+      view.stopping = false;
+      view.token = 0;
+      view.load = {};
+      view.offset = 0;
+    }
+    view.incarnation = from.incarnation;
+    if (replaced) {
+      hooks_.replaced(from.name);
+    }
+  }
+  view.heard_at = now;
+  return true;
+}
+
+void Member::OnProbe(Instant now,
+                     const wire::Sender& from,
+                     const wire::Probe& probe,
+                     Effects& effects) {
+  if (knowledge_.Learn(probe.statement)) {
+    hooks_.epoch_raised();
+  }
+  const auto it = views_.find(from.name);
+  if (it != views_.end()) {
+    it->second.vouches = probe.vouches;
+    it->second.stopping = probe.stopping;
+    it->second.offset = probe.statement.offset;
+  }
+  wire::ProbeReply reply;
+  reply.echo = probe.sent;
+  reply.statement = knowledge_.MakeStatement();
+  reply.vouches = vouches();
+  reply.token = ToMicros(now);
+  if (hooks_.own_load) {
+    reply.load = hooks_.own_load();
+  }
+  effects.push_back(SendEffect{from.name, std::move(reply)});
+  CatchUp(now, from.name, probe.statement.offset, effects);
+}
+
+void Member::OnProbeReply(Instant now,
+                          const wire::Sender& from,
+                          const wire::ProbeReply& reply,
+                          Effects& effects) {
+  const auto it = views_.find(from.name);
+  const Instant sent = FromMicros(reply.echo);
+  if (it == views_.end() || sent > now || sent < born_) {
+    return;
+  }
+  PeerView& view = it->second;
+  view.offset = std::max(view.offset, reply.statement.offset);
+  view.vouches = reply.vouches;
+  view.token = std::max(view.token, reply.token);
+  if (knowledge_.Learn(reply.statement)) {
+    hooks_.epoch_raised();
+  }
+  if (reply.vouches) {
+    gate_.NoteHeard(from.name, reply.statement.offset);
+  }
+  const Instant counted = settings_.rules.round_trip_age ? sent : now;
+  evidence_.Record(from.name, {counted, reply.statement, reply.vouches});
+  evidence_stale_ = true;
+  gate_.Update(now, knowledge_.region(), control().offset());
+  hooks_.load(from.name, reply.load);
+  view.load = reply.load;
+  CatchUp(now, from.name, reply.statement.offset, effects);
+}
+
+void Member::NoteWork(const InstanceName& name,
+                      wire::Token token,
+                      const wire::Load& load) {
+  const auto it = views_.find(name);
+  if (it != views_.end()) {
+    it->second.token = std::max(it->second.token, token);
+    it->second.load = load;
+    hooks_.load(name, load);
+  }
+}
+
+void Member::CatchUp(Instant now,
+                     const InstanceName& from,
+                     wire::LogOffset offset,
+                     Effects& effects) {
+  const bool asked = requested_at_ != Instant::min() &&
+                     now - requested_at_ < settings_.timing.probe_interval;
+  if (offset <= control().offset() || asked) {
+    return;
+  }
+  requested_at_ = now;
+  effects.push_back(
+      SendEffect{from, wire::RecordsRequest{control().offset()}});
+}
+
+void Member::OnRecordsRequest(const wire::Sender& from,
+                              const wire::RecordsRequest& request,
+                              Effects& effects) {
+  if (request.from >= control().offset()) {
+    return;
+  }
+  if (auto records = knowledge_.RecordsFrom(request.from, kPushBytes)) {
+    effects.push_back(SendEffect{from.name, *std::move(records)});
+    return;
+  }
+  effects.push_back(SendEffect{from.name, wire::Snapshot{control().Encode()}});
+}
+
+void Member::OnRecords(const wire::Records& records) {
+  if (records.first > control().offset()) {
+    return;
+  }
+  const auto skip = control().offset() - records.first;
+  for (const wire::ControlRecord& record :
+       records.records | std::views::drop(skip)) {
+    Fold(record);
+  }
+}
+
+void Member::OnSnapshot(const wire::Snapshot& snapshot) {
+  TakeState(snapshot.state);
+}
+
+void Member::TakeState(std::string_view state) {
+  if (!knowledge_.TakeState(state).ok()) {
+    return;
+  }
+  epoch_offsets_.clear();
+  SyncViews();
+  hooks_.state_taken();
+}
+
+void Member::OnLogRead(const LogReadEvent& event, Effects& effects) {
+  wire::LogOffset at = event.first;
+  for (const wire::ControlRecord& record : event.records) {
+    if (at > control().offset()) {
+      // Older records were trimmed: start from the checkpoint.
+      const auto* checkpoint = std::get_if<wire::Checkpoint>(&record.body);
+      if (checkpoint != nullptr && checkpoint->offset == at) {
+        TakeState(checkpoint->state);
+      }
+    }
+    if (at == control().offset()) {
+      Fold(record);
+    }
+    ++at;
+  }
+  if (at > control().offset()) {
+    effects.push_back(LogEffect{"Records of the control stream are missing."});
+  }
+}
+
+void Member::Fold(const wire::ControlRecord& record) {
+  const wire::LogOffset offset = control().offset();
+  const Verdict verdict = knowledge_.Apply(record);
+  evidence_stale_ = true;
+  // Note from which offset on each taken epoch is in the fold.
+  if (const auto* take = std::get_if<wire::TakeShards>(&record.body);
+      take != nullptr && take->region == settings_.info.region) {
+    for (const wire::ShardEpoch& taken : take->shards) {
+      epoch_offsets_[taken.shard] = offset + 1;
+    }
+  }
+  if (std::holds_alternative<wire::ResetRegion>(record.body)) {
+    epoch_offsets_.clear();
+  }
+  SyncViews();
+  hooks_.folded(offset, record, verdict);
+}
+
+void Member::SyncViews() {
+  evidence_stale_ = true;
+  const auto& instances = control().instances();
+  std::erase_if(views_, [&](const auto& item) {
+    const bool gone = !instances.contains(item.first);
+    if (gone) {
+      evidence_.Forget(item.first);
+    }
+    return gone;
+  });
+  for (const auto& [name, info] : instances) {
+    if (IsPeer(info)) {
+      views_.try_emplace(name);
+    }
+  }
+}
+
+std::span<const MemberSet> Member::Sets() const {
+  const RegionState* region = knowledge_.region();
+  return region == nullptr ? std::span<const MemberSet>()
+                           : std::span<const MemberSet>(region->sets);
+}
+
+bool Member::EvidenceHolds(Instant now) const {
+  return EvidenceUntil() >= now;
+}
+
+Instant Member::EvidenceUntil() const {
+  if (evidence_stale_) {
+    evidence_until_ =
+        evidence_.HoldsUntil(Sets(), control().offset(), vouches());
+    evidence_stale_ = false;
+  }
+  return evidence_until_;
+}
+
+bool Member::Carried(wire::LogOffset offset) const {
+  return evidence_.Carried(Sets(), offset, vouches());
+}
+
+bool Member::CarriedWhole(wire::LogOffset offset) const {
+  const wire::Statement own = knowledge_.MakeStatement();
+  return Carried(offset) &&
+         std::ranges::all_of(own.overrides, [&](const auto& known) {
+           return CarriedEpoch(known);
+         });
+}
+
+bool Member::CarriedEpoch(const wire::ShardEpoch& epoch) const {
+  const RegionState* region = knowledge_.region();
+  wire::LogOffset offset = Evidence::kNotInLog;
+  if (region != nullptr && epoch.shard < region->epochs.size() &&
+      region->epochs[epoch.shard] >= epoch.epoch) {
+    const auto it = epoch_offsets_.find(epoch.shard);
+    // Without its record at hand, the whole fold must have been carried.
+    offset = it != epoch_offsets_.end() ? it->second : region->formed;
+    if (it == epoch_offsets_.end() && epoch.epoch.number > 1) {
+      offset = control().offset();
+    }
+  }
+  return evidence_.CarriedEpoch(Sets(), epoch, offset, vouches());
+}
+
+const PeerView* Member::FindView(const InstanceName& name) const {
+  const auto it = views_.find(name);
+  return it == views_.end() ? nullptr : &it->second;
+}
+
+void Member::RaiseEpoch(wire::ShardId shard, const wire::Epoch& epoch) {
+  knowledge_.Raise(shard, epoch);
+  epoch_offsets_.erase(shard);
+  probe_all_ = true;
+}
+
+void Member::LearnEpoch(wire::ShardId shard, const wire::Epoch& epoch) {
+  if (knowledge_.Raise(shard, epoch)) {
+    hooks_.epoch_raised();
+  }
+}
+
+wire::Token Member::Renewal(Instant now, const InstanceName& name) const {
+  if (settings_.info.role != wire::Role::kEntry || !EvidenceHolds(now)) {
+    return 0;
+  }
+  const PeerView* view = FindView(name);
+  return view == nullptr ? 0 : view->token;
+}
+
+void Member::SendProbe(Instant now,
+                       const InstanceName& name,
+                       Effects& effects) {
+  wire::Probe probe;
+  probe.sent = ToMicros(now);
+  probe.statement = knowledge_.MakeStatement();
+  probe.vouches = vouches();
+  probe.stopping = stopping_;
+  probe.renewal = Renewal(now, name);
+  effects.push_back(SendEffect{name, std::move(probe)});
+}
+
+void Member::Tick(Instant now, Effects& effects) {
+  // A gap between ticks means that this process stood still: what it believes
+  // of others' silence is worth nothing.
+  if (now - ticked_at_ > kMissedTicks * settings_.timing.probe_interval) {
+    resumed_at_ = now;
+  }
+  ticked_at_ = now;
+  gate_.Update(now, knowledge_.region(), control().offset());
+  evidence_stale_ |= !gate_.open();
+  const bool asks = settings_.info.role == wire::Role::kEntry || !vouches();
+  const bool all = std::exchange(probe_all_, false);
+  if (!asks) {
+    return;
+  }
+  for (auto& [name, view] : views_) {
+    if (!all && view.probe_at > now) {
+      continue;
+    }
+    view.probe_at = now + settings_.timing.probe_interval;
+    SendProbe(now, name, effects);
+  }
+}
+
+void Member::AnnounceStop() {
+  stopping_ = true;
+  probe_all_ = true;
+}
+
+Instant Member::NextWakeup() const {
+  if (probe_all_) {
+    return Instant::min();
+  }
+  return ticked_at_ + settings_.timing.probe_interval;
+}
+
+uint64_t Member::Hash() const {
+  Hasher hasher;
+  hasher.Add(knowledge_.Hash());
+  hasher.Add(vouches());
+  for (const auto& [name, view] : views_) {
+    hasher.Add(name.value());
+    hasher.Add(view.incarnation);
+    hasher.Add(view.offset);
+    hasher.Add(view.vouches);
+    hasher.Add(static_cast<uint64_t>(view.token));
+    hasher.Add(static_cast<uint64_t>(ToMicros(view.heard_at)));
+  }
+  return hasher.digest();
+}
+
+}  // namespace filbertwick::core
--- /dev/null
+++ b/filbertwick/core/state/ownership.cc
@@ -0,0 +1,226 @@
+#include "filbertwick/core/state/ownership.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+#include "filbertwick/base/hash.h"
+
+namespace filbertwick::core {
+
+Ownership::Ownership(Member& member, OwnershipHooks hooks)
+    : member_(member), hooks_(std::move(hooks)) {}
+
+void Ownership::Update(const Now& now) {
+  const RegionState* region = member_.knowledge().region();
+  if (region == nullptr || region->generation == 0) {
+    return;
+  }
+  DropLost();
+  AdoptReset();
+  if (takes_) {
+    TakeOver(now);
+  }
+  AdvanceFences(now);
+}
+
+void Ownership::DropLost() {
+  std::vector<wire::ShardId> lost;
+  for (const auto& [shard, term] : terms_) {
+    if (member_.knowledge().EpochOf(shard) != term.epoch) {
+      lost.push_back(shard);
+    }
+  }
+  for (const wire::ShardId shard : lost) {
+    terms_.erase(shard);
+    hooks_.lost(shard);
+  }
+}
+
+void Ownership::AdoptReset() {
+  const RegionState* region = member_.knowledge().region();
+  const wire::InstanceInfo& self = member_.settings().info;
+  const auto former = region->formers.find(self.name);
+  if (former == region->formers.end() ||
+      former->second != self.incarnation) {
+    return;
+  }
+  for (wire::ShardId shard = 0; shard < region->epochs.size(); ++shard) {
+    const wire::Epoch& epoch = member_.knowledge().EpochOf(shard);
+    const bool by_reset = epoch.generation == region->generation &&
+                          epoch.number == 1 && epoch.owner == self.name;
+    if (by_reset && !terms_.contains(shard)) {
+      terms_[shard] = {.epoch = epoch, .first_ever = epoch.generation == 1};
+      member_.ProbeSoon();
+    }
+  }
+}
+
+Duration Ownership::FenceWait() const {
+  const TimingSettings& timing = member_.settings().timing;
+  if (!member_.settings().rules.fence_wait) {
+    return Duration(0);
+  }
+  constexpr int64_t kMillion = 1'000'000;
+  const Duration wait = 2 * timing.evidence_age;
+  return wait + wait * timing.clock_rate_ppm / kMillion + Duration(1);
+}
+
+void Ownership::AdvanceFences(const Now& now) {
+  std::vector<wire::ShardId> gained;
+  for (auto& [shard, term] : terms_) {
+    if (term.serving) {
+      continue;
+    }
+    // The set of members may have changed since: it must be carried now too.
+    const bool carried = member_.CarriedEpoch({shard, term.epoch});
+    if (!term.carried_at && carried) {
+      term.carried_at = now.monotonic;
+    }
+    const Duration wait = term.handed_over ? Duration(0) : FenceWait();
+    if (!carried || now.monotonic < *term.carried_at + wait) {
+      continue;
+    }
+    term.serving = true;
+    term.serving_since = now.monotonic;
+    term.serving_since_wall = now.wall;
+    gained.push_back(shard);
+  }
+  if (!gained.empty()) {
+    hooks_.gained(gained);
+  }
+}
+
+bool Ownership::OwnerIsGone(Instant now,
+                            wire::ShardId shard,
+                            const wire::Epoch& epoch) {
+  // Note when this epoch was first seen here.
+  SeenEpoch& seen = seen_[shard];
+  if (seen.epoch != epoch) {
+    seen = {epoch, now};
+  }
+  const wire::InstanceInfo& self = member_.settings().info;
+  const TimingSettings& timing = member_.settings().timing;
+  if (epoch.owner == self.name) {
+    // Taken by an incarnation of this name that is gone, or given to this one
+    // by a handover whose message may still come.
+    return !terms_.contains(shard) &&
+           now - seen.at >= 2 * timing.probe_interval;
+  }
+  const std::vector<InstanceName> order =
+      member_.control().Successors(self.region, shard, epoch.owner);
+  const auto it = std::ranges::find(order, self.name);
+  if (it == order.end()) {
+    return false;
+  }
+  const Duration stagger = timing.takeover_stagger * (it - order.begin());
+  const PeerView* view = member_.FindView(epoch.owner);
+  Instant silent_since = std::max(seen.at, member_.resumed_at());
+  if (view == nullptr) {
+    return now - silent_since >= timing.probe_interval + stagger;
+  }
+  if (view->replaced_at > seen.at) {
+    return now - view->replaced_at >= stagger;
+  }
+  silent_since = std::max(silent_since, view->heard_at);
+  return now - silent_since >= timing.takeover_silence + stagger;
+}
+
+void Ownership::TakeOver(const Now& now) {
+  // An instance that reaches only a minority would take shards for nothing.
+  if (!member_.vouches() || !member_.EvidenceHolds(now.monotonic)) {
+    return;
+  }
+  const InstanceName& self = member_.settings().info.name;
+  std::vector<wire::ShardEpoch> taken;
+  for (wire::ShardId shard = 0; shard < wire::kShardsPerRegion; ++shard) {
+    const wire::Epoch epoch = member_.knowledge().EpochOf(shard);
+    if (terms_.contains(shard) ||
+        !OwnerIsGone(now.monotonic, shard, epoch)) {
+      continue;
+    }
+    const wire::Epoch next = {epoch.generation, epoch.number + 1, 0, self};
+    terms_[shard] = {.epoch = next};
+    member_.RaiseEpoch(shard, next);
+    taken.push_back({shard, next});
+  }
+  if (!taken.empty()) {
+    hooks_.taken(taken);
+  }
+}
+
+bool Ownership::Serves(wire::ShardId shard) const {
+  const ShardTerm* term = FindTerm(shard);
+  return term != nullptr && term->serving &&
+         member_.knowledge().EpochOf(shard) == term->epoch;
+}
+
+bool Ownership::Holds(wire::ShardId shard) const {
+  const ShardTerm* term = FindTerm(shard);
+  return term != nullptr &&
+         member_.knowledge().EpochOf(shard) == term->epoch;
+}
+
+const ShardTerm* Ownership::FindTerm(wire::ShardId shard) const {
+  const auto it = terms_.find(shard);
+  return it == terms_.end() ? nullptr : &it->second;
+}
+
+std::vector<wire::ShardEpoch> Ownership::Release(
+    std::span<const wire::ShardId> shards,
+    const InstanceName& to) {
+  std::vector<wire::ShardEpoch> released;
+  for (const wire::ShardId shard : shards) {
+    if (!Serves(shard)) {
+      continue;
+    }
+    const wire::Epoch& epoch = member_.knowledge().EpochOf(shard);
+    const wire::Epoch next = {epoch.generation, epoch.number,
+                              epoch.handovers + 1, to};
+    terms_.erase(shard);
+    member_.RaiseEpoch(shard, next);
+    released.push_back({shard, next});
+  }
+  return released;
+}
+
+std::vector<wire::ShardEpoch> Ownership::Accept(
+    std::span<const wire::ShardEpoch> shards) {
+  const InstanceName& self = member_.settings().info.name;
+  std::vector<wire::ShardEpoch> accepted;
+  for (const wire::ShardEpoch& given : shards) {
+    if (given.epoch.owner != self || terms_.contains(given.shard) ||
+        given.epoch < member_.knowledge().EpochOf(given.shard)) {
+      continue;
+    }
+    member_.RaiseEpoch(given.shard, given.epoch);
+    terms_[given.shard] = {.epoch = given.epoch, .handed_over = true};
+    accepted.push_back(given);
+  }
+  return accepted;
+}
+
+std::vector<wire::ShardId> Ownership::Held() const {
+  const auto keys = terms_ | std::views::keys;
+  return {keys.begin(), keys.end()};
+}
+
+uint32_t Ownership::serving() const {
+  return static_cast<uint32_t>(std::ranges::count_if(
+      terms_ | std::views::values, &ShardTerm::serving));
+}
+
+uint64_t Ownership::Hash() const {
+  Hasher hasher;
+  for (const auto& [shard, term] : terms_) {
+    hasher.Add(shard);
+    hasher.Add(term.epoch.generation);
+    hasher.Add(term.epoch.number);
+    hasher.Add(term.epoch.handovers);
+    hasher.Add(term.serving);
+    hasher.Add(static_cast<uint64_t>(ToMicros(term.serving_since)));
+  }
+  return hasher.digest();
+}
+
+}  // namespace filbertwick::core
--- /dev/null
+++ b/filbertwick/core/state/recorder.h
@@ -0,0 +1,60 @@
+#ifndef FILBERTWICK_CORE_STATE_RECORDER_H_
+#define FILBERTWICK_CORE_STATE_RECORDER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "filbertwick/base/name.h"
+#include "filbertwick/core/effect.h"
+#include "filbertwick/core/event.h"
+#include "filbertwick/core/state/member.h"
+
+namespace filbertwick::core {
+
+/// Appends records to the control stream and appends each again, under the
+/// same change id, until it is read back: an answer may be lost after the
+/// write took effect, and a change folds once.
+class Recorder {
+ public:
+  /// A recorder for the instance of `member`, which must outlive it.
+  explicit Recorder(const Member& member);
+
+  /// Appends `body` as this instance, unless the change is known already.
+  void Append(const Now& now,
+              ChangeId change,
+              wire::ControlBody body,
+              Effects& effects);
+  /// Appends a record of somebody else's.
+  void Append(const Now& now, wire::ControlRecord record, Effects& effects);
+
+  /// The change was read back.
+  void OnFolded(const ChangeId& change);
+  /// The append failed, or its answer was lost.
+  void OnFailed(const Now& now, const ChangeId& change);
+
+  /// Appends again what was not read back in time.
+  void Tick(const Now& now, Effects& effects);
+  /// When Tick() is due.
+  Instant NextWakeup() const;
+  /// True while the change waits to be read back.
+  bool IsPending(const ChangeId& change) const;
+
+ private:
+  /// A record on its way.
+  struct Pending {
+    wire::ControlRecord record;
+    Instant retry_at;
+    /// Times appended.
+    uint32_t tries = 1;
+  };
+
+  Duration Pause(uint32_t tries) const;
+
+  const Member& member_;
+  std::map<ChangeId, Pending> pending_;
+};
+
+}  // namespace filbertwick::core
+
+#endif  // FILBERTWICK_CORE_STATE_RECORDER_H_
--- a/filbertwick/wire/epoch.h
+++ b/filbertwick/wire/epoch.h
@@ -18,10 +18,13 @@
 inline constexpr ShardId kShardsPerRegion = 64;
 
 /// One term of ownership of a shard. Later terms compare greater; two terms
-/// with one number are ordered by owner, so that exactly one wins.
+/// with one number are ordered by owner, so that exactly one wins. A takeover
+/// raises `number`, a planned handover only `handovers`: so a takeover beats
+/// every handover that does not know of it.
 struct Epoch {
   uint32_t generation = 0;
   uint32_t number = 0;
+  uint32_t handovers = 0;
   InstanceName owner;
 
   friend auto operator<=>(const Epoch&, const Epoch&) = default;
@@ -29,7 +32,7 @@
   /// Reads or writes the epoch through a cereal archive.
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(generation, number, owner);
+    archive(generation, number, handovers, owner);
   }
 };
 
--- a/filbertwick/wire/job.h
+++ b/filbertwick/wire/job.h
@@ -91,6 +91,7 @@
   kTaskFailed,
   kWorkerLost,
   kUnknownJob,
+  kExpired,
 };
 
 /// The reason as it stands in answers, such as `over_quota`.
--- a/filbertwick/wire/message.h
+++ b/filbertwick/wire/message.h
@@ -40,10 +40,12 @@
   Token renewal = 0;
   /// The asker counts as a vouching instance.
   bool vouches = false;
+  /// The asker is about to leave and takes nothing over.
+  bool stopping = false;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(sent, statement, renewal, vouches);
+    archive(sent, statement, renewal, vouches, stopping);
   }
 };
 
@@ -324,19 +326,24 @@
   RequestId request = 0;
   /// The receiver does not own the shard: ask again elsewhere.
   bool not_owner = false;
+  /// With `not_owner`: the epoch of the shard as the receiver knows it.
+  ShardEpoch known;
   JobAnswer answer;
   /// For kExplain: what was decided, one line a step.
   std::vector<std::string> explanation;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(request, not_owner, answer, explanation);
+    archive(request, not_owner, known, answer, explanation);
   }
 };
 
 /// What an owner knows of a task when it hands its shard over.
 struct HandoverTask {
+  /// kUnknown: never offered or certainly not started; kQueued: offered;
+  /// kStarted; kEnded: `result` is there.
   TaskState state = TaskState::kUnknown;
+  /// Number of the last offer.
   uint32_t attempt = 0;
   /// Sidecar that holds it while kQueued or kStarted.
   InstanceName sidecar;
@@ -367,14 +374,14 @@
 /// A stopping owner gives shards with their memory to a successor. The sender
 /// starts nothing under these epochs any more.
 struct Handover {
+  /// The incarnation of the successor that is meant.
+  Incarnation incarnation = 0;
   std::vector<ShardEpoch> shards;
-  /// Time since the sender began to serve, oldest of the shards.
-  Duration served{0};
   std::vector<HandoverJob> jobs;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(shards, served, jobs);
+    archive(incarnation, shards, jobs);
   }
 };
 
--- a/unit_tests/wire_test.cc
+++ b/unit_tests/wire_test.cc
@@ -20,7 +20,7 @@
 Message SampleOffers() {
   TaskOffer offer;
   offer.key = {JobId("job-1"), 3};
-  offer.epoch = {1, 7, InstanceName("entry-a")};
+  offer.epoch = {1, 7, 0, InstanceName("entry-a")};
   offer.token = -5;
   offer.payload = std::string(300, 'x');
   return Offers{7, {offer, offer}};
@@ -30,7 +30,7 @@
   Probe probe;
   probe.sent = 1'234'567;
   probe.statement.offset = 900;
-  probe.statement.overrides = {{4, {1, 2, InstanceName("entry-b")}}};
+  probe.statement.overrides = {{4, {1, 2, 0, InstanceName("entry-b")}}};
   return probe;
 }
 
