Read and write JSON with findings that name their place

Settings, bundles and callers' bodies need one reader that reports every wrong field at once. Json::Value keeps byte offsets, so each finding carries its line and JSON path; ObjectReader checks types, ranges, names, words and unknown fields. Duplicate keys are reported by a scan of their own, since JsonCpp skips the rest of an object after the first.

--- /dev/null
+++ b/filbertwick/json/document.cc
@@ -0,0 +1,134 @@
+#include "filbertwick/json/document.h"
+
+#include <fmt/format.h>
+#include <json/reader.h>
+#include <json/value.h>
+
+#include <boost/locale/utf.hpp>
+#include <exception>
+#include <memory>
+#include <optional>
+#include <regex>
+#include <utility>
+
+#include "filbertwick/json/document_state.h"
+#include "filbertwick/json/duplicate_keys.h"
+
+namespace filbertwick::json {
+namespace {
+
+/// What JsonCpp says of a text that it refuses.
+struct SyntaxError {
+  int line = 0;
+  std::string text;
+};
+
+/// Takes the first error out of JsonCpp's formatted messages.
+SyntaxError FirstError(const std::string& messages) {
+  static const std::regex pattern(R"(\* Line (\d+), Column \d+\n\s*([^\n]*))");
+  std::smatch match;
+  if (!std::regex_search(messages, match, pattern)) {
+    return {1, messages};
+  }
+  return {std::stoi(match[1]), match[2]};
+}
+
+std::optional<SyntaxError> ParseValue(std::string_view text,
+                                      Comments comments,
+                                      bool reject_duplicates,
+                                      Json::Value* value) {
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  builder["collectComments"] = false;
+  builder["allowComments"] = comments == Comments::kAllowed;
+  builder["rejectDupKeys"] = reject_duplicates;
+  builder["strictRoot"] = false;
+  builder["stackLimit"] = kMaxDepth;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  std::string messages;
+  try {
+    if (reader->parse(text.data(), text.data() + text.size(), value,
+                      &messages)) {
+      return std::nullopt;
+    }
+  } catch (const std::exception&) {
+    return SyntaxError{1, fmt::format("nested too deep, at most {} levels are "
+                                      "allowed",
+                                      kMaxDepth)};
+  }
+  return FirstError(messages);
+}
+
+/// Offset of the first byte that is not UTF-8, if any.
+std::optional<size_t> FindInvalidUtf8(std::string_view text) {
+  using Traits = boost::locale::utf::utf_traits<char>;
+  const char* p = text.data();
+  const char* const end = p + text.size();
+  while (p != end) {
+    const char* const start = p;
+    const auto code_point = Traits::decode(p, end);
+    if (!boost::locale::utf::is_valid_codepoint(code_point)) {
+      return start - text.data();
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+void Node::Report(std::string_view text, Severity severity) const {
+  state_->Report(static_cast<size_t>(value_->getOffsetStart()), path_, text,
+                 severity);
+}
+
+Document::Document(std::shared_ptr<Node::State> state)
+    : state_(std::move(state)) {}
+
+Document Document::Parse(std::string_view file,
+                         std::string_view text,
+                         Comments comments) {
+  auto state = std::make_shared<Node::State>(file, text);
+  if (const auto offset = FindInvalidUtf8(text)) {
+    state->Report(*offset, "/", "a byte is not UTF-8");
+    return Document(std::move(state));
+  }
+  const auto strict_error = ParseValue(text, comments, true, &state->root);
+  if (!strict_error) {
+    state->parsed = true;
+    return Document(std::move(state));
+  }
+  // A text that is right but for duplicate keys is read on, so that all
+  // findings come together.
+  state->root = Json::Value();
+  const auto error = ParseValue(text, comments, false, &state->root);
+  state->parsed = !error;
+  const auto duplicates =
+      error ? std::vector<DuplicateKey>() : FindDuplicateKeys(text);
+  for (const DuplicateKey& duplicate : duplicates) {
+    state->Report(duplicate.offset, duplicate.path,
+                  "duplicate key, each may stand once");
+  }
+  if (duplicates.empty()) {
+    const SyntaxError& shown = error ? *error : *strict_error;
+    state->ReportLine(shown.line, "/", fmt::format("not JSON: {}", shown.text));
+  }
+  return Document(std::move(state));
+}
+
+Node Document::root() const {
+  return Node(state_, &state_->root, "/");
+}
+
+bool Document::parsed() const {
+  return state_->parsed;
+}
+
+bool Document::ok() const {
+  return !state_->has_errors;
+}
+
+Findings Document::findings() const {
+  return state_->SortedFindings();
+}
+
+}  // namespace filbertwick::json
--- /dev/null
+++ b/filbertwick/json/object_reader.cc
@@ -0,0 +1,275 @@
+#include "filbertwick/json/object_reader.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+#include <json/value.h>
+
+#include <algorithm>
+#include <set>
+
+#include "filbertwick/json/document_state.h"
+
+namespace filbertwick::json {
+namespace {
+
+constexpr uint64_t kUnbounded = std::numeric_limits<uint64_t>::max();
+
+bool Contains(const Range& range, uint64_t value) {
+  return range.min <= value && value <= range.max;
+}
+
+std::string Describe(const Range& range) {
+  if (range.max == kUnbounded) {
+    return fmt::format("at least {}", range.min);
+  }
+  if (range.min == range.max) {
+    return fmt::format("{}", range.min);
+  }
+  return fmt::format("{} to {}", range.min, range.max);
+}
+
+bool IsNameByte(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') || c == '.' || c == '_' || c == '-';
+}
+
+bool IsName(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxNameBytes &&
+         std::ranges::all_of(text, IsNameByte);
+}
+
+const std::string& NameRule() {
+  static const std::string rule =
+      fmt::format("1 to {} letters, digits, '.', '_' or '-'", kMaxNameBytes);
+  return rule;
+}
+
+}  // namespace
+
+ObjectReader::ObjectReader(const Node& node)
+    : node_(node), is_object_(node.value_->isObject()) {
+  if (!is_object_) {
+    node_.Report("must be an object");
+  }
+}
+
+bool ObjectReader::Has(std::string_view name) const {
+  const Json::Value* value =
+      is_object_ ? node_.value_->find(name.data(), name.data() + name.size())
+                 : nullptr;
+  return value != nullptr && !value->isNull();
+}
+
+Node ObjectReader::At(std::string_view name) const {
+  const Json::Value* value =
+      is_object_ ? node_.value_->find(name.data(), name.data() + name.size())
+                 : nullptr;
+  return value == nullptr ? node_ : Child(*value, name);
+}
+
+double ObjectReader::Number(std::string_view name,
+                            double min,
+                            double max,
+                            std::optional<double> fallback) {
+  const Json::Value* value = Find(name, !fallback);
+  if (value == nullptr) {
+    return fallback.value_or(min);
+  }
+  if (!value->isNumeric() || value->asDouble() < min ||
+      value->asDouble() > max) {
+    Child(*value, name)
+        .Report(fmt::format("must be a number, {} to {}", min, max));
+    return fallback.value_or(min);
+  }
+  return value->asDouble();
+}
+
+Duration ObjectReader::Milliseconds(std::string_view name,
+                                    Range range,
+                                    std::optional<Duration> fallback) {
+  // The largest number of milliseconds that microseconds can hold.
+  const uint64_t limit = Duration::max().count() / 1000;
+  range.max = std::min(range.max, limit);
+  std::optional<uint64_t> number;
+  if (fallback) {
+    number = static_cast<uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(*fallback)
+            .count());
+  }
+  return std::chrono::milliseconds(ReadInteger(name, range, number));
+}
+
+bool ObjectReader::Boolean(std::string_view name,
+                           std::optional<bool> fallback) {
+  const Json::Value* value = Find(name, !fallback);
+  if (value == nullptr) {
+    return fallback.value_or(false);
+  }
+  if (!value->isBool()) {
+    Child(*value, name).Report("must be true or false");
+    return fallback.value_or(false);
+  }
+  return value->asBool();
+}
+
+std::string ObjectReader::String(std::string_view name,
+                                 Range bytes,
+                                 const std::optional<std::string>& fallback) {
+  const Json::Value* value = Find(name, !fallback);
+  if (value == nullptr) {
+    return fallback.value_or("");
+  }
+  std::string text = value->isString() ? value->asString() : "";
+  if (!value->isString() || !Contains(bytes, text.size())) {
+    Child(*value, name)
+        .Report(fmt::format("must be a string of {} bytes", Describe(bytes)));
+    return fallback.value_or("");
+  }
+  return text;
+}
+
+std::vector<Node> ObjectReader::Array(std::string_view name, Range size) {
+  const Json::Value* value = Find(name, size.min > 0);
+  if (value == nullptr) {
+    return {};
+  }
+  const Node array = Child(*value, name);
+  if (!value->isArray() || !Contains(size, value->size())) {
+    array.Report(
+        fmt::format("must be an array of {} elements", Describe(size)));
+    return {};
+  }
+  std::vector<Node> nodes;
+  for (const Json::Value& element : *value) {
+    nodes.push_back(Node(node_.state_, &element,
+                         fmt::format("{}/{}", array.path(), nodes.size())));
+  }
+  return nodes;
+}
+
+std::vector<std::string> ObjectReader::Strings(std::string_view name,
+                                               Range size,
+                                               Range bytes) {
+  std::vector<std::string> texts;
+  for (const Node& node : Array(name, size)) {
+    std::string text = node.value_->isString() ? node.value_->asString() : "";
+    if (!node.value_->isString() || !Contains(bytes, text.size())) {
+      node.Report(fmt::format("must be a string of {} bytes", Describe(bytes)));
+      continue;
+    }
+    texts.push_back(std::move(text));
+  }
+  return texts;
+}
+
+std::optional<ObjectReader> ObjectReader::Object(std::string_view name) {
+  const Json::Value* value = Find(name, true);
+  if (value == nullptr) {
+    return std::nullopt;
+  }
+  ObjectReader reader(Child(*value, name));
+  return reader.is_object_ ? std::optional(std::move(reader)) : std::nullopt;
+}
+
+void ObjectReader::Finish() {
+  if (!is_object_) {
+    return;
+  }
+  std::ranges::sort(known_);
+  for (const std::string& name : node_.value_->getMemberNames()) {
+    if (!std::ranges::binary_search(known_, name)) {
+      At(name).Report(fmt::format("unknown field, allowed are {}",
+                                  fmt::join(known_, ", ")));
+    }
+  }
+}
+
+const Json::Value* ObjectReader::Find(std::string_view name, bool required) {
+  known_.emplace_back(name);
+  if (!is_object_) {
+    return nullptr;
+  }
+  const Json::Value* value =
+      node_.value_->find(name.data(), name.data() + name.size());
+  if (value == nullptr && required) {
+    node_.Report(fmt::format("the field \"{}\" is missing", name));
+  }
+  return value;
+}
+
+Node ObjectReader::Child(const Json::Value& value,
+                         std::string_view name) const {
+  const std::string_view parent =
+      node_.path() == "/" ? std::string_view() : node_.path();
+  return Node(node_.state_, &value, fmt::format("{}/{}", parent, name));
+}
+
+uint64_t ObjectReader::ReadInteger(std::string_view name,
+                                   Range range,
+                                   std::optional<uint64_t> fallback) {
+  const Json::Value* value = Find(name, !fallback);
+  if (value == nullptr) {
+    return fallback.value_or(range.min);
+  }
+  if (!value->isUInt64() || !Contains(range, value->asUInt64())) {
+    Child(*value, name)
+        .Report(fmt::format("must be a whole number, {}", Describe(range)));
+    return fallback.value_or(range.min);
+  }
+  return value->asUInt64();
+}
+
+std::string ObjectReader::ReadNameText(
+    std::string_view name,
+    const std::optional<std::string>& fallback) {
+  const Json::Value* value = Find(name, !fallback);
+  if (value == nullptr) {
+    return fallback.value_or("");
+  }
+  if (!value->isString() || !IsName(value->asString())) {
+    Child(*value, name).Report(fmt::format("must be a name of {}", NameRule()));
+    return fallback.value_or("");
+  }
+  return value->asString();
+}
+
+std::vector<std::string> ObjectReader::ReadNameTexts(std::string_view name,
+                                                     Range size) {
+  std::vector<std::string> names;
+  std::set<std::string> seen;
+  for (const Node& node : Array(name, size)) {
+    if (!node.value_->isString() || !IsName(node.value_->asString())) {
+      node.Report(fmt::format("must be a name of {}", NameRule()));
+      continue;
+    }
+    std::string text = node.value_->asString();
+    if (!seen.insert(text).second) {
+      node.Report(fmt::format("\"{}\" is named twice", text));
+      continue;
+    }
+    names.push_back(std::move(text));
+  }
+  return names;
+}
+
+std::optional<size_t> ObjectReader::ReadWord(
+    std::string_view name,
+    std::span<const std::string_view> words,
+    bool has_fallback) {
+  const Json::Value* value = Find(name, !has_fallback);
+  if (value == nullptr) {
+    return std::nullopt;
+  }
+  const auto it = value->isString()
+                      ? std::ranges::find(words, value->asString())
+                      : words.end();
+  if (it == words.end()) {
+    Child(*value, name)
+        .Report(
+            fmt::format("must be one of \"{}\"", fmt::join(words, "\", \"")));
+    return std::nullopt;
+  }
+  return it - words.begin();
+}
+
+}  // namespace filbertwick::json
--- /dev/null
+++ b/filbertwick/json/text_writer.cc
@@ -0,0 +1,122 @@
+#include "filbertwick/json/text_writer.h"
+
+#include <fmt/format.h>
+
+#include <boost/locale/utf.hpp>
+#include <cmath>
+#include <utility>
+
+namespace filbertwick::json {
+namespace {
+
+constexpr std::string_view kReplacement = "\xef\xbf\xbd";
+constexpr unsigned char kFirstPrintable = 0x20;
+
+void AppendAscii(std::string& out, char c) {
+  switch (c) {
+    case '"':
+      out += "\\\"";
+      return;
+    case '\\':
+      out += "\\\\";
+      return;
+    case '\n':
+      out += "\\n";
+      return;
+    case '\t':
+      out += "\\t";
+      return;
+    default:
+      break;
+  }
+  if (static_cast<unsigned char>(c) < kFirstPrintable) {
+    fmt::format_to(std::back_inserter(out), "\\u{:04x}",
+                   static_cast<unsigned char>(c));
+    return;
+  }
+  out += c;
+}
+
+}  // namespace
+
+std::string Quote(std::string_view text) {
+  using Traits = boost::locale::utf::utf_traits<char>;
+  std::string out = "\"";
+  out.reserve(text.size() + 2);
+  const char* p = text.data();
+  const char* const end = p + text.size();
+  while (p != end) {
+    const char* const start = p;
+    const auto code_point = Traits::decode(p, end);
+    if (!boost::locale::utf::is_valid_codepoint(code_point)) {
+      // One replacement for each bad byte, so that what follows is kept.
+      p = start + 1;
+      out += kReplacement;
+    } else if (p - start == 1) {
+      AppendAscii(out, *start);
+    } else {
+      out.append(start, p);
+    }
+  }
+  out += '"';
+  return out;
+}
+
+TextWriter& TextWriter::BeginObject() {
+  return Begin('{');
+}
+
+TextWriter& TextWriter::EndObject() {
+  return End('}');
+}
+
+TextWriter& TextWriter::BeginArray() {
+  return Begin('[');
+}
+
+TextWriter& TextWriter::EndArray() {
+  return End(']');
+}
+
+TextWriter& TextWriter::Key(std::string_view name) {
+  Raw(Quote(name));
+  text_ += ':';
+  needs_comma_ = false;
+  return *this;
+}
+
+TextWriter& TextWriter::Value(std::string_view text) {
+  return Raw(Quote(text));
+}
+
+TextWriter& TextWriter::Value(double number) {
+  return Raw(std::isfinite(number) ? fmt::format("{}", number) : "null");
+}
+
+std::string TextWriter::Take() {
+  needs_comma_ = false;
+  return std::exchange(text_, {});
+}
+
+TextWriter& TextWriter::Raw(std::string_view value) {
+  if (needs_comma_) {
+    text_ += ',';
+  }
+  text_ += value;
+  needs_comma_ = true;
+  return *this;
+}
+
+TextWriter& TextWriter::Begin(char bracket) {
+  Raw(std::string_view(&bracket, 1));
+  needs_comma_ = false;
+  return *this;
+}
+
+TextWriter& TextWriter::End(char bracket) {
+  text_ += bracket;
+  needs_comma_ = true;
+  return *this;
+}
+
+}  // namespace filbertwick::json
