--- a/filbertwick/bundle/bundle.h
+++ b/filbertwick/bundle/bundle.h
@@ -59,6 +59,9 @@
   std::vector<Zone> zones;
   std::vector<Service> services;
   std::vector<Team> teams;
+  /// Tasks of all teams that may wait or run at a time; quotas that add up to
+  /// more are a warning.
+  uint64_t capacity = 200'000;
   /// How long keys and answers of jobs are kept.
   Duration dedupe_window = std::chrono::minutes(10);
 
--- a/filbertwick/json/document.cc
+++ b/filbertwick/json/document.cc
@@ -4,11 +4,14 @@
 #include <json/reader.h>
 #include <json/value.h>
 
+#include <algorithm>
 #include <boost/locale/utf.hpp>
+#include <charconv>
 #include <exception>
 #include <memory>
 #include <optional>
 #include <regex>
+#include <system_error>
 #include <utility>
 
 #include "filbertwick/json/document_state.h"
@@ -81,6 +84,25 @@
                  severity);
 }
 
+std::optional<Node> Node::Child(std::string_view name) const {
+  const Json::Value* child = nullptr;
+  if (value_->isObject()) {
+    child = value_->find(name.data(), name.data() + name.size());
+  } else if (value_->isArray()) {
+    size_t index = 0;
+    const auto parsed =
+        std::from_chars(name.data(), name.data() + name.size(), index);
+    if (parsed.ec == std::errc() && index < value_->size()) {
+      child = &(*value_)[static_cast<Json::ArrayIndex>(index)];
+    }
+  }
+  if (child == nullptr) {
+    return std::nullopt;
+  }
+  const std::string_view parent = path_ == "/" ? "" : std::string_view(path_);
+  return Node(state_, child, fmt::format("{}/{}", parent, name));
+}
+
 Document::Document(std::shared_ptr<Node::State> state)
     : state_(std::move(state)) {}
 
@@ -119,6 +141,20 @@
   return Node(state_, &state_->root, "/");
 }
 
+Node Document::Find(std::string_view path) const {
+  Node node = root();
+  for (size_t start = 1; start < path.size();) {
+    const size_t end = std::min(path.find('/', start), path.size());
+    const auto child = node.Child(path.substr(start, end - start));
+    if (!child) {
+      break;
+    }
+    node = *child;
+    start = end + 1;
+  }
+  return node;
+}
+
 bool Document::parsed() const {
   return state_->parsed;
 }
--- a/filbertwick/json/document.h
+++ b/filbertwick/json/document.h
@@ -4,6 +4,7 @@
 #include <json/forwards.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -26,6 +27,9 @@
   /// Path from the root, such as `/services/0/name`; `/` is the root.
   const std::string& path() const { return path_; }
 
+  /// The field of an object, or the element of an array, that `name` names.
+  std::optional<Node> Child(std::string_view name) const;
+
   /// Adds a finding at this place; errors make the document invalid.
   void Report(std::string_view text,
               Severity severity = Severity::kError) const;
@@ -54,6 +58,8 @@
 
   /// The root; only when the syntax is right.
   Node root() const;
+  /// The value at a path, or the nearest one above it that is there.
+  Node Find(std::string_view path) const;
   /// True when the text could be parsed, so that root() may be read.
   bool parsed() const;
   /// True when no finding is an error so far.
--- a/filbertwick/json/object_reader.cc
+++ b/filbertwick/json/object_reader.cc
@@ -54,17 +54,12 @@
 }
 
 bool ObjectReader::Has(std::string_view name) const {
-  const Json::Value* value =
-      is_object_ ? node_.value_->find(name.data(), name.data() + name.size())
-                 : nullptr;
-  return value != nullptr && !value->isNull();
+  const std::optional<Node> child = node_.Child(name);
+  return is_object_ && child && !child->value_->isNull();
 }
 
 Node ObjectReader::At(std::string_view name) const {
-  const Json::Value* value =
-      is_object_ ? node_.value_->find(name.data(), name.data() + name.size())
-                 : nullptr;
-  return value == nullptr ? node_ : Child(*value, name);
+  return node_.Child(name).value_or(node_);
 }
 
 double ObjectReader::Number(std::string_view name,
@@ -77,8 +72,7 @@
   }
   if (!value->isNumeric() || value->asDouble() < min ||
       value->asDouble() > max) {
-    Child(*value, name)
-        .Report(fmt::format("must be a number, {} to {}", min, max));
+    At(name).Report(fmt::format("must be a number, {} to {}", min, max));
     return fallback.value_or(min);
   }
   return value->asDouble();
@@ -106,7 +100,7 @@
     return fallback.value_or(false);
   }
   if (!value->isBool()) {
-    Child(*value, name).Report("must be true or false");
+    At(name).Report("must be true or false");
     return fallback.value_or(false);
   }
   return value->asBool();
@@ -121,8 +115,8 @@
   }
   std::string text = value->isString() ? value->asString() : "";
   if (!value->isString() || !Contains(bytes, text.size())) {
-    Child(*value, name)
-        .Report(fmt::format("must be a string of {} bytes", Describe(bytes)));
+    At(name).Report(
+        fmt::format("must be a string of {} bytes", Describe(bytes)));
     return fallback.value_or("");
   }
   return text;
@@ -133,7 +127,7 @@
   if (value == nullptr) {
     return {};
   }
-  const Node array = Child(*value, name);
+  const Node array = At(name);
   if (!value->isArray() || !Contains(size, value->size())) {
     array.Report(
         fmt::format("must be an array of {} elements", Describe(size)));
@@ -167,7 +161,7 @@
   if (value == nullptr) {
     return std::nullopt;
   }
-  ObjectReader reader(Child(*value, name));
+  ObjectReader reader(At(name));
   return reader.is_object_ ? std::optional(std::move(reader)) : std::nullopt;
 }
 
@@ -189,19 +183,11 @@
   if (!is_object_) {
     return nullptr;
   }
-  const Json::Value* value =
-      node_.value_->find(name.data(), name.data() + name.size());
-  if (value == nullptr && required) {
+  const std::optional<Node> child = node_.Child(name);
+  if (!child && required) {
     node_.Report(fmt::format("the field \"{}\" is missing", name));
   }
-  return value;
-}
-
-Node ObjectReader::Child(const Json::Value& value,
-                         std::string_view name) const {
-  const std::string_view parent =
-      node_.path() == "/" ? std::string_view() : node_.path();
-  return Node(node_.state_, &value, fmt::format("{}/{}", parent, name));
+  return child ? child->value_ : nullptr;
 }
 
 uint64_t ObjectReader::ReadInteger(std::string_view name,
@@ -212,8 +198,7 @@
     return fallback.value_or(range.min);
   }
   if (!value->isUInt64() || !Contains(range, value->asUInt64())) {
-    Child(*value, name)
-        .Report(fmt::format("must be a whole number, {}", Describe(range)));
+    At(name).Report(fmt::format("must be a whole number, {}", Describe(range)));
     return fallback.value_or(range.min);
   }
   return value->asUInt64();
@@ -227,7 +212,7 @@
     return fallback.value_or("");
   }
   if (!value->isString() || !IsName(value->asString())) {
-    Child(*value, name).Report(fmt::format("must be a name of {}", NameRule()));
+    At(name).Report(fmt::format("must be a name of {}", NameRule()));
     return fallback.value_or("");
   }
   return value->asString();
@@ -264,9 +249,8 @@
                       ? std::ranges::find(words, value->asString())
                       : words.end();
   if (it == words.end()) {
-    Child(*value, name)
-        .Report(
-            fmt::format("must be one of \"{}\"", fmt::join(words, "\", \"")));
+    At(name).Report(
+        fmt::format("must be one of \"{}\"", fmt::join(words, "\", \"")));
     return std::nullopt;
   }
   return it - words.begin();
--- a/filbertwick/json/object_reader.h
+++ b/filbertwick/json/object_reader.h
@@ -128,7 +128,6 @@
   /// Notes `name` as known; the value, or null when it is absent. An absent
   /// field that is required is reported.
   const Json::Value* Find(std::string_view name, bool required);
-  Node Child(const Json::Value& value, std::string_view name) const;
   uint64_t ReadInteger(std::string_view name,
                        Range range,
                        std::optional<uint64_t> fallback);
