--- a/filbertwick/core/entry/handover.cc
+++ b/filbertwick/core/entry/handover.cc
@@ -128,8 +128,7 @@
   sent_.emplace(to, Sent{std::move(handover), now.monotonic + kRepeat});
   // The waiters of the jobs ask the successor.
   for (const wire::ShardEpoch& shard : released) {
-    for (const policy::JobHandle handle :
-         context_.jobs.JobsOf(shard.shard)) {
+    for (const policy::JobHandle handle : context_.jobs.JobsOf(shard.shard)) {
       runner_.Disown(*context_.jobs.Find(handle));
     }
   }
@@ -184,16 +183,14 @@
     }
   }
   intake_.Import(now, jobs);
-  effects.push_back(
-      SendEffect{from.name, wire::HandoverDone{handover.shards}});
+  effects.push_back(SendEffect{from.name, wire::HandoverDone{handover.shards}});
   return accepted;
 }
 
 void HandoverController::OnDone(const wire::Sender& from,
                                 const wire::HandoverDone& done) {
   std::erase_if(sent_, [&](const auto& item) {
-    return item.first == from.name &&
-           item.second.message.shards == done.shards;
+    return item.first == from.name && item.second.message.shards == done.shards;
   });
 }
 
--- a/filbertwick/harness/process_clock.h
+++ b/filbertwick/harness/process_clock.h
@@ -31,6 +31,9 @@
     if (instant == Instant::max()) {
       return Duration::max();
     }
+    if (instant <= Instant(origin_)) {
+      return boot_;
+    }
     const Duration local = instant.time_since_epoch() - origin_;
     Duration elapsed(static_cast<int64_t>(static_cast<int64_t>(local.count()) *
                                           kMillion / (kMillion + ppm_)));
