--- a/filbertwick/core/entry/census.cc
+++ b/filbertwick/core/entry/census.cc
@@ -89,8 +89,7 @@
 bool Census::SomebodyDeparted(const Now& now, const Job& job) const {
   return std::ranges::any_of(
       context_.member.control().departures(), [&](const Departure& departure) {
-        const int64_t since =
-            now.wall.unix_millis - departure.left.unix_millis;
+        const int64_t since = now.wall.unix_millis - departure.left.unix_millis;
         return departure.info.role == wire::Role::kSidecar &&
                departure.info.service == job.spec.service &&
                CouldHaveStartedBefore(
@@ -108,8 +107,8 @@
   }
   for (const JobId& id : reply.jobs) {
     Job* job = context_.jobs.Find(id);
-    const auto it = job == nullptr ? inquiries_.end()
-                                   : inquiries_.find(job->handle);
+    const auto it =
+        job == nullptr ? inquiries_.end() : inquiries_.find(job->handle);
     if (it == inquiries_.end() || it->second.open.erase(from.name) == 0) {
       continue;
     }
@@ -165,9 +164,9 @@
                            const wire::CensusEntry* entry) {
   for (uint32_t index = 0; index < job.tasks.size(); ++index) {
     const Task& task = job.tasks[index];
-    const bool held = task.sidecar == from.name &&
-                      (task.phase == TaskPhase::kOffered ||
-                       task.phase == TaskPhase::kStarted);
+    const bool held =
+        task.sidecar == from.name && (task.phase == TaskPhase::kOffered ||
+                                      task.phase == TaskPhase::kStarted);
     if (!held) {
       continue;
     }
@@ -176,8 +175,8 @@
     update.attempt = task.attempt;
     update.state = wire::TaskState::kUnknown;
     if (entry != nullptr) {
-      const auto it = std::ranges::find(entry->tasks, update.key,
-                                        &wire::TaskUpdate::key);
+      const auto it =
+          std::ranges::find(entry->tasks, update.key, &wire::TaskUpdate::key);
       if (it != entry->tasks.end()) {
         update = *it;
         runner_.AdoptTask(job, index, from.name, from.incarnation, task.phase,
--- a/filbertwick/core/entry/entry_core.cc
+++ b/filbertwick/core/entry/entry_core.cc
@@ -95,9 +95,7 @@
   void On(OperatorEvent& event);
   void On(LogReadEvent& event);
   void On(LogDownEvent&) {}
-  void On(AppendFailedEvent& event) {
-    recorder_->OnFailed(now_, event.change);
-  }
+  void On(AppendFailedEvent& event) { recorder_->OnFailed(now_, event.change); }
   void On(StopEvent& event);
   void On(UpstreamEvent&) {}
   void On(ExecutionEvent&) {}
@@ -135,8 +133,7 @@
     router_->OnForwardAnswer(now_, message, *effects_);
   }
   void OnMessage(const wire::Sender& from, wire::Handover& message) {
-    const auto taken =
-        handover_->OnHandover(now_, from, message, *effects_);
+    const auto taken = handover_->OnHandover(now_, from, message, *effects_);
     RecordTaken(taken);
     urgent_ = true;
   }
@@ -181,11 +178,9 @@
 
 void EntryCore::Impl::Begin() {
   MemberHooks hooks;
-  hooks.folded = [this](wire::LogOffset offset,
-                        const wire::ControlRecord& record,
-                        const Verdict& verdict) {
-    OnFolded(offset, record, verdict);
-  };
+  hooks.folded =
+      [this](wire::LogOffset offset, const wire::ControlRecord& record,
+             const Verdict& verdict) { OnFolded(offset, record, verdict); };
   hooks.state_taken = [this] {
     upstreams_->OnControl(now_.monotonic);
     urgent_ = true;
@@ -202,8 +197,8 @@
   hooks.load = [this](const InstanceName& name, const wire::Load& load) {
     upstreams_->OnLoad(now_.monotonic, name, load);
   };
-  member_ = std::make_unique<Member>(settings_, std::move(hooks),
-                                     now_.monotonic);
+  member_ =
+      std::make_unique<Member>(settings_, std::move(hooks), now_.monotonic);
   OwnershipHooks ownership_hooks;
   ownership_hooks.gained = [this](std::span<const wire::ShardId> shards) {
     intake_->OnGained(now_, shards);
@@ -281,14 +276,14 @@
 
 void EntryCore::Impl::RecordEjections() {
   for (policy::EjectionChange& ejection : dispatcher_->TakeEjections()) {
-    const ChangeId change(fmt::format(
-        "ejection/{}/{:016x}/{}", settings_.info.name.value(),
-        settings_.info.incarnation, ejections_++));
-    recorder_->Append(now_, change,
-                      wire::UpstreamEjection{ejection.upstream,
-                                             ejection.ejected,
-                                             std::move(ejection.why)},
-                      *effects_);
+    const ChangeId change(
+        fmt::format("ejection/{}/{:016x}/{}", settings_.info.name.value(),
+                    settings_.info.incarnation, ejections_++));
+    recorder_->Append(
+        now_, change,
+        wire::UpstreamEjection{ejection.upstream, ejection.ejected,
+                               std::move(ejection.why)},
+        *effects_);
   }
 }
 
--- a/filbertwick/core/entry/handover.cc
+++ b/filbertwick/core/entry/handover.cc
@@ -128,30 +128,27 @@
   sent_.emplace(to, Sent{std::move(handover), now.monotonic + kRepeat});
   // The waiters of the jobs ask the successor.
   for (const wire::ShardEpoch& shard : released) {
-    for (const policy::JobHandle handle :
-         context_.jobs.JobsOf(shard.shard)) {
+    for (const policy::JobHandle handle : context_.jobs.JobsOf(shard.shard)) {
       runner_.Disown(*context_.jobs.Find(handle));
     }
   }
 }
 
 void HandoverController::Repeat(const Now& now, Effects& effects) {
-  std::erase_if(sent_, [&](auto& item) {
-    auto& [to, sent] = item;
-    if (sent.repeat_at > now.monotonic) {
-      return false;
-    }
-    const PeerView* view = context_.member.FindView(to);
-    const bool gone =
-        view == nullptr || view->incarnation != sent.message.incarnation;
-    if (gone || sent.tries >= kMaxTries) {
-      return true;
-    }
-    ++sent.tries;
-    sent.repeat_at = now.monotonic + kRepeat;
-    effects.push_back(SendEffect{to, sent.message});
-    return false;
+  // Give up on those that the successor can't take any more.
+  std::erase_if(sent_, [&](const auto& item) {
+    const PeerView* view = context_.member.FindView(item.first);
+    return view == nullptr ||
+           view->incarnation != item.second.message.incarnation ||
+           item.second.tries >= kMaxTries;
   });
+  for (auto& [to, sent] : sent_) {
+    if (sent.repeat_at <= now.monotonic) {
+      ++sent.tries;
+      sent.repeat_at = now.monotonic + kRepeat;
+      effects.push_back(SendEffect{to, sent.message});
+    }
+  }
 }
 
 Instant HandoverController::NextWakeup() const {
@@ -184,16 +181,14 @@
     }
   }
   intake_.Import(now, jobs);
-  effects.push_back(
-      SendEffect{from.name, wire::HandoverDone{handover.shards}});
+  effects.push_back(SendEffect{from.name, wire::HandoverDone{handover.shards}});
   return accepted;
 }
 
 void HandoverController::OnDone(const wire::Sender& from,
                                 const wire::HandoverDone& done) {
   std::erase_if(sent_, [&](const auto& item) {
-    return item.first == from.name &&
-           item.second.message.shards == done.shards;
+    return item.first == from.name && item.second.message.shards == done.shards;
   });
 }
 
--- a/filbertwick/core/entry/job_birth.cc
+++ b/filbertwick/core/entry/job_birth.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cctype>
+#include <charconv>
 #include <string>
 #include <string_view>
 
@@ -30,7 +30,8 @@
     }
   }
   const std::string_view variants = "89abAB";
-  return text[kVersionAt] == '7' && variants.find(text[kVariantAt]) != std::string_view::npos;
+  return text[kVersionAt] == '7' &&
+         variants.find(text[kVariantAt]) != std::string_view::npos;
 }
 
 }  // namespace
--- a/filbertwick/core/entry/job_intake.cc
+++ b/filbertwick/core/entry/job_intake.cc
@@ -124,8 +124,8 @@
   if (Job* job = context_.jobs.Find(spec.id)) {
     if (context_.member.settings().rules.digest_check &&
         job->spec.digest != spec.digest) {
-      Answer(waiter, spec.id, {wire::Reason::kDigestMismatch, true,
-                               Duration(0)});
+      Answer(waiter, spec.id,
+             {wire::Reason::kDigestMismatch, true, Duration(0)});
       return;
     }
     Attach(waiter, *job);
@@ -268,13 +268,11 @@
         state.sidecar = task.sidecar;
         state.sidecar_incarnation = task.sidecar_incarnation;
         state.result = task.result;
-        state.state = task.phase == TaskPhase::kWaiting
-                          ? wire::TaskState::kUnknown
-                      : task.phase == TaskPhase::kOffered
-                          ? wire::TaskState::kQueued
-                      : task.phase == TaskPhase::kStarted
-                          ? wire::TaskState::kStarted
-                          : wire::TaskState::kEnded;
+        state.state =
+            task.phase == TaskPhase::kWaiting   ? wire::TaskState::kUnknown
+            : task.phase == TaskPhase::kOffered ? wire::TaskState::kQueued
+            : task.phase == TaskPhase::kStarted ? wire::TaskState::kStarted
+                                                : wire::TaskState::kEnded;
         item.tasks.push_back(std::move(state));
       }
       exported.push_back(std::move(item));
--- a/filbertwick/core/entry/job_intake.h
+++ b/filbertwick/core/entry/job_intake.h
@@ -21,9 +21,9 @@
 };
 
 /// A step of the chain that every new job passes; nothing passes the job on.
-using SubmitFilter = std::function<std::optional<Refusal>(
-    const Now& now,
-    const wire::JobSpec& spec)>;
+using SubmitFilter =
+    std::function<std::optional<Refusal>(const Now& now,
+                                         const wire::JobSpec& spec)>;
 
 /// Takes jobs in at the owner of their shard. A known key attaches to its job;
 /// a new one passes the filters and starts; one that an earlier owner may have
--- a/filbertwick/core/entry/job_runner.cc
+++ b/filbertwick/core/entry/job_runner.cc
@@ -45,9 +45,9 @@
 
 void JobRunner::Start(Instant now, Job& job) {
   assert(job.stage == JobStage::kRunning);
-  const policy::JobShape shape = {
-      job.spec.service, job.spec.team,
-      static_cast<uint32_t>(job.tasks.size()), job.deadline - now};
+  const policy::JobShape shape = {job.spec.service, job.spec.team,
+                                  static_cast<uint32_t>(job.tasks.size()),
+                                  job.deadline - now};
   context_.dispatcher.AddJob(job.handle, shape, now);
   job.registered = true;
   for (uint32_t index = 0; index < job.tasks.size(); ++index) {
@@ -129,10 +129,9 @@
   }
   Task& task = job->tasks[update.key.index];
   const policy::TaskRef ref = {job->handle, update.key.index};
-  const bool current = task.sidecar == sidecar &&
-                       task.attempt == update.attempt &&
-                       (task.phase == TaskPhase::kOffered ||
-                        task.phase == TaskPhase::kStarted);
+  const bool current =
+      task.sidecar == sidecar && task.attempt == update.attempt &&
+      (task.phase == TaskPhase::kOffered || task.phase == TaskPhase::kStarted);
   if (!current) {
     return;
   }
@@ -154,8 +153,7 @@
     case wire::TaskState::kEnded: {
       const bool succeeded =
           update.result.outcome == wire::TaskOutcome::kSucceeded;
-      const bool lost =
-          update.result.outcome == wire::TaskOutcome::kMayHaveRun;
+      const bool lost = update.result.outcome == wire::TaskOutcome::kMayHaveRun;
       TaskCameBack(now, *job, ref.index,
                    succeeded ? policy::TaskEnd::kSucceeded
                    : lost    ? policy::TaskEnd::kLost
@@ -184,22 +182,19 @@
   const policy::TaskRef ref = {job.handle, index};
   LeaveSidecar(ref, task);
   context_.dispatcher.OnEnded(ref, end, run_time, now);
-  if (end == policy::TaskEnd::kNotStarted &&
-      job.stage == JobStage::kCensus) {
+  if (end == policy::TaskEnd::kNotStarted && job.stage == JobStage::kCensus) {
     task.phase = TaskPhase::kWaiting;
     return;
   }
-  if (end == policy::TaskEnd::kSucceeded ||
-      job.stage != JobStage::kRunning) {
+  if (end == policy::TaskEnd::kSucceeded || job.stage != JobStage::kRunning) {
     EndTask(now, job, index, std::move(result));
     FinishIfDone(now, job);
     return;
   }
   const StartRuling ruling = RuleOnStart(job, end);
-  const bool again =
-      ruling == StartRuling::kOfferAgain ||
-      (ruling == StartRuling::kRepeat &&
-       context_.dispatcher.TakeRetry(job.spec.service, now));
+  const bool again = ruling == StartRuling::kOfferAgain ||
+                     (ruling == StartRuling::kRepeat &&
+                      context_.dispatcher.TakeRetry(job.spec.service, now));
   if (again) {
     task.phase = TaskPhase::kWaiting;
     task.repeat = task.repeat || ruling == StartRuling::kRepeat;
@@ -261,8 +256,7 @@
                            ? policy::TaskEnd::kLost
                            : policy::TaskEnd::kStopped;
       context_.dispatcher.OnEnded({job.handle, index}, end, Duration(0), now);
-      EndTask(now, job, index,
-              ResultOf(wire::TaskOutcome::kRan, "stopped"));
+      EndTask(now, job, index, ResultOf(wire::TaskOutcome::kRan, "stopped"));
     }
   }
   FinishIfDone(now, job);
@@ -271,14 +265,14 @@
 void JobRunner::WithdrawTask(Instant now, Job& job, uint32_t index, bool stop) {
   Task& task = job.tasks[index];
   task.withdrawing = true;
-  context_.outbox.AddWithdrawal(
-      task.sidecar, {{job.spec.id, index}, task.attempt, stop});
+  context_.outbox.AddWithdrawal(task.sidecar,
+                                {{job.spec.id, index}, task.attempt, stop});
   Expect(now + kAnswerPatience, {job.handle, index}, task);
 }
 
 void JobRunner::FinishIfDone(Instant now, Job& job) {
-  const bool open = job.stage == JobStage::kRunning ||
-                    job.stage == JobStage::kEnding;
+  const bool open =
+      job.stage == JobStage::kRunning || job.stage == JobStage::kEnding;
   if (open && job.ended_tasks == job.tasks.size()) {
     Finish(now, job);
   }
@@ -347,8 +341,7 @@
     wire::ForwardAnswer reply;
     reply.request = waiter.request;
     reply.not_owner = true;
-    reply.known = {job.shard,
-                   context_.member.knowledge().EpochOf(job.shard)};
+    reply.known = {job.shard, context_.member.knowledge().EpochOf(job.shard)};
     context_.answer(waiter, std::move(reply));
   }
   Drop(job);
@@ -412,8 +405,7 @@
     }
     const Task& task = job->tasks[due.task.index];
     if (task.phase == TaskPhase::kOffered && task.answer_due == due.at) {
-      WithdrawTask(now, *job, due.task.index,
-                   job->stage == JobStage::kEnding);
+      WithdrawTask(now, *job, due.task.index, job->stage == JobStage::kEnding);
     }
   }
 }
@@ -487,9 +479,9 @@
                           task.sidecar.value(), millis(task.offered_at));
     }
     if (task.phase == TaskPhase::kEnded) {
-      line += fmt::format(", {} at +{:.1f} ms",
-                          wire::ToString(task.result.outcome),
-                          millis(task.ended_at));
+      line +=
+          fmt::format(", {} at +{:.1f} ms", wire::ToString(task.result.outcome),
+                      millis(task.ended_at));
     }
     lines.push_back(std::move(line));
   }
--- a/filbertwick/core/entry/registrar.cc
+++ b/filbertwick/core/entry/registrar.cc
@@ -86,8 +86,8 @@
       caught_up_at_ != Instant::min() &&
       now.monotonic - caught_up_at_ <= 8 * timing.evidence_age;
   const uint32_t generation = region == nullptr ? 0 : region->generation;
-  const bool asked = bundle != nullptr && generation > 0 &&
-                     bundle->generation > generation;
+  const bool asked =
+      bundle != nullptr && generation > 0 && bundle->generation > generation;
   const bool needed =
       generation == 0 || asked || MajorityIsGone(now.monotonic, *region);
   if (!on_record || !caught_up || !needed) {
@@ -129,15 +129,14 @@
   const TimingSettings& timing = member_.settings().timing;
   constexpr int64_t kMillion = 1'000'000;
   const Duration wait = 2 * timing.evidence_age;
-  const Duration margin =
-      wait * timing.clock_rate_ppm / kMillion + Duration(1);
+  const Duration margin = wait * timing.clock_rate_ppm / kMillion + Duration(1);
   if (now.monotonic < *carried_since_ + wait + margin + Turn()) {
     return;
   }
   const RegionName& name = member_.settings().info.region;
-  recorder_.Append(
-      now, ChangeId(fmt::format("settle/{}/{}", name.value(), step)),
-      wire::SettleMembers{name, step}, effects);
+  recorder_.Append(now,
+                   ChangeId(fmt::format("settle/{}/{}", name.value(), step)),
+                   wire::SettleMembers{name, step}, effects);
 }
 
 void Registrar::RemoveSilent(const Now& now, Effects& effects) {
@@ -152,10 +151,9 @@
     }
     const wire::Incarnation incarnation =
         member_.control().instances().at(name).incarnation;
-    recorder_.Append(now,
-                     ChangeId(fmt::format("remove/{}/{}", name.value(),
-                                          incarnation)),
-                     wire::LeaveInstance{name, incarnation}, effects);
+    recorder_.Append(
+        now, ChangeId(fmt::format("remove/{}/{}", name.value(), incarnation)),
+        wire::LeaveInstance{name, incarnation}, effects);
   }
 }
 
--- a/filbertwick/core/entry/request_router.cc
+++ b/filbertwick/core/entry/request_router.cc
@@ -57,9 +57,9 @@
   open.id = event.job;
   open.query = event.query;
   open.region = context_.member.settings().info.region;
-  open.give_up = now.monotonic + (event.query == wire::JobQuery::kFetch
-                                      ? kFetchPatience
-                                      : kQueryPatience);
+  open.give_up =
+      now.monotonic +
+      (event.query == wire::JobQuery::kFetch ? kFetchPatience : kQueryPatience);
   Add(now, event.request, std::move(open), effects);
 }
 
@@ -165,16 +165,13 @@
     wire::ForwardAnswer answer;
     answer.request = job.request;
     answer.not_owner = true;
-    answer.known = {job.shard,
-                    context_.member.knowledge().EpochOf(job.shard)};
+    answer.known = {job.shard, context_.member.knowledge().EpochOf(job.shard)};
     effects.push_back(SendEffect{from.name, std::move(answer)});
     return;
   }
   // From another region: this entry looks for the owner itself.
-  const bool open_already =
-      std::ranges::any_of(open_, [&](const auto& item) {
-        return item.second.origin == waiter;
-      });
+  const bool open_already = std::ranges::any_of(
+      open_, [&](const auto& item) { return item.second.origin == waiter; });
   if (open_already) {
     return;
   }
@@ -279,10 +276,9 @@
       result.outcome = wire::TaskOutcome::kMayHaveRun;
     }
   } else {
-    answer.answer.reason =
-        open.region == context_.member.settings().info.region
-            ? wire::Reason::kNoEvidence
-            : wire::Reason::kOtherRegionCutOff;
+    answer.answer.reason = open.region == context_.member.settings().info.region
+                               ? wire::Reason::kNoEvidence
+                               : wire::Reason::kOtherRegionCutOff;
     answer.answer.retry_after = std::chrono::seconds(1);
   }
   Close(request, answer, effects);
--- a/filbertwick/core/entry/upstream_sync.cc
+++ b/filbertwick/core/entry/upstream_sync.cc
@@ -11,8 +11,7 @@
 
 }  // namespace
 
-UpstreamSync::UpstreamSync(const Member& member,
-                           policy::Dispatcher& dispatcher)
+UpstreamSync::UpstreamSync(const Member& member, policy::Dispatcher& dispatcher)
     : member_(member), dispatcher_(dispatcher) {}
 
 void UpstreamSync::OnControl(Instant now) {
@@ -87,9 +86,8 @@
   const Duration patience = member_.settings().timing.evidence_age;
   for (const InstanceName& name : known_) {
     const PeerView* view = member_.FindView(name);
-    const bool silent =
-        view == nullptr || view->heard_at == Instant::min() ||
-        now - view->heard_at > patience;
+    const bool silent = view == nullptr || view->heard_at == Instant::min() ||
+                        now - view->heard_at > patience;
     if (silent && silent_.insert(name).second) {
       dispatcher_.UpdateLoad(name, {}, now);
     }
--- a/filbertwick/core/entry/zone_watch.cc
+++ b/filbertwick/core/entry/zone_watch.cc
@@ -27,8 +27,8 @@
   const TimingSettings& timing = member_.settings().timing;
   constexpr int64_t kMillion = 1'000'000;
   const Duration wait = 2 * timing.evidence_age;
-  return now > it->second.carried_at + wait +
-                   wait * timing.clock_rate_ppm / kMillion;
+  return now >
+         it->second.carried_at + wait + wait * timing.clock_rate_ppm / kMillion;
 }
 
 std::vector<ZoneStatus> ZoneWatch::Status(Instant now) const {
--- a/filbertwick/core/sidecar/sidecar_core.cc
+++ b/filbertwick/core/sidecar/sidecar_core.cc
@@ -89,9 +89,7 @@
   void On(ExecutionEvent& event) {
     runner_->OnExecution(now_.monotonic, event, *effects_);
   }
-  void On(AppendFailedEvent& event) {
-    recorder_->OnFailed(now_, event.change);
-  }
+  void On(AppendFailedEvent& event) { recorder_->OnFailed(now_, event.change); }
   void On(LogReadEvent& event) { member_->OnLogRead(event, *effects_); }
   // What only entries take.
   void On(SubmitEvent&) {}
@@ -164,8 +162,8 @@
   hooks.epoch_raised = [] {};
   hooks.load = [](const InstanceName&, const wire::Load&) {};
   hooks.own_load = [this] { return runner_->load(); };
-  member_ = std::make_unique<Member>(settings_, std::move(hooks),
-                                     now_.monotonic);
+  member_ =
+      std::make_unique<Member>(settings_, std::move(hooks), now_.monotonic);
   runner_ = std::make_unique<TaskRunner>(*member_, outbox_);
   recorder_ = std::make_unique<Recorder>(*member_);
 }
@@ -251,8 +249,7 @@
   status.bundle_version = control().bundle_version();
   status.generation = region == nullptr ? 0 : region->generation;
   status.stopping = stopping_;
-  status.ready =
-      member_->vouches() && !stopping_ && runner_->load().slots > 0;
+  status.ready = member_->vouches() && !stopping_ && runner_->load().slots > 0;
   status.jobs_running = runner_->load().running;
   status.tasks_waiting = runner_->load().queued;
   for (const auto& [name, view] : member_->views()) {
@@ -268,8 +265,7 @@
   return status;
 }
 
-SidecarCore::SidecarCore(std::unique_ptr<Impl> impl)
-    : impl_(std::move(impl)) {}
+SidecarCore::SidecarCore(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
 SidecarCore::~SidecarCore() = default;
 
 absl::StatusOr<std::unique_ptr<SidecarCore>> SidecarCore::Create(
--- a/filbertwick/core/sidecar/task_runner.cc
+++ b/filbertwick/core/sidecar/task_runner.cc
@@ -24,8 +24,8 @@
 }
 
 wire::Load TaskRunner::load() const {
-  const bool out = member_.control().zones_out().contains(
-      member_.settings().info.zone);
+  const bool out =
+      member_.control().zones_out().contains(member_.settings().info.zone);
   wire::Load load;
   load.slots = leaving_ || stopping_ || out ? 0 : slots_;
   load.running = ledger_.running();
@@ -84,8 +84,7 @@
                          wire::TaskOffer& offer,
                          Effects& effects) {
   if (ClashesWithLedger(offer)) {
-    Refuse(from, offer.key, offer.attempt,
-           wire::RefusalCause::kDigestMismatch);
+    Refuse(from, offer.key, offer.attempt, wire::RefusalCause::kDigestMismatch);
     return;
   }
   if (AnswerFromLedger(from, offer)) {
@@ -198,9 +197,8 @@
 }
 
 void TaskRunner::ReturnQueue(wire::RefusalCause cause) {
-  for (const QueuedOffer& item : queue_.TakeIf([](const auto&) {
-         return true;
-       })) {
+  for (const QueuedOffer& item :
+       queue_.TakeIf([](const auto&) { return true; })) {
     Refuse(item.owner, item.offer.key, item.offer.attempt, cause);
   }
 }
@@ -294,8 +292,7 @@
   if (event.result.outcome == wire::TaskOutcome::kNotRun) {
     // The upstream refused it: the start is taken back.
     const LedgerEntry* entry = ledger_.Find(event.key);
-    if (entry != nullptr && !entry->ended &&
-        entry->attempt == event.attempt) {
+    if (entry != nullptr && !entry->ended && entry->attempt == event.attempt) {
       Refuse(entry->owner, event.key, event.attempt,
              wire::RefusalCause::kUpstreamGone);
       ledger_.Undo(event.key);
@@ -315,8 +312,7 @@
   RefuseUnfit(now);
   StartQueued(now, effects);
   queue_.Expire(now);
-  for (const LedgerEntry* entry :
-       ledger_.TakeUntold(now, now + kTellAgain)) {
+  for (const LedgerEntry* entry : ledger_.TakeUntold(now, now + kTellAgain)) {
     outbox_.AddUpdate(entry->owner, MakeUpdate(*entry));
   }
   const bundle::Bundle* bundle = member_.control().bundle();
--- a/filbertwick/core/state/control_fold.cc
+++ b/filbertwick/core/state/control_fold.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "filbertwick/bundle/bundle_parser.h"
 #include "filbertwick/core/state/control_state.h"
 #include "filbertwick/core/state/rendezvous.h"
 
@@ -55,8 +56,7 @@
 Verdict ControlState::Fold(const wire::ControlRecord&,
                            const wire::SetZone& zone) {
   if (!bundle_ || bundle_->FindZone(zone.zone) == nullptr) {
-    return Refuse(
-        fmt::format("the bundle has no zone {}", zone.zone.value()));
+    return Refuse(fmt::format("the bundle has no zone {}", zone.zone.value()));
   }
   if (!zone.out) {
     data_.zones_out.erase(zone.zone);
@@ -72,9 +72,8 @@
     return Refuse("an instance needs a name");
   }
   const auto it = data_.instances.find(join.info.name);
-  if (it != data_.instances.end() &&
-      (it->second.role != join.info.role ||
-       it->second.region != join.info.region)) {
+  if (it != data_.instances.end() && (it->second.role != join.info.role ||
+                                      it->second.region != join.info.region)) {
     return Refuse("the name is taken by an instance of another kind");
   }
   NoteNewcomer(join.info);
@@ -104,13 +103,13 @@
   const bool counted = std::ranges::any_of(
       region.sets,
       [&](const MemberSet& set) { return set.names.contains(info.name); });
-  const bool departed = std::ranges::any_of(
-      data_.departures, [&](const Departure& departure) {
+  const bool departed =
+      std::ranges::any_of(data_.departures, [&](const Departure& departure) {
         return departure.info.name == info.name;
       });
   const auto it = data_.instances.find(info.name);
-  const bool same = it != data_.instances.end() &&
-                    it->second.incarnation == info.incarnation;
+  const bool same =
+      it != data_.instances.end() && it->second.incarnation == info.incarnation;
   if (it == data_.instances.end() && !counted && !departed) {
     region.newcomers[info.name] = info.incarnation;
   } else if (!same) {
@@ -175,13 +174,11 @@
   RegionState& region = data_.regions[reset.region];
   // A jump to the bundle's generation is the operators' word that the old
   // instances are gone for good; only then the names are made anew.
-  const bool renames =
-      region.generation == 0 ||
-      (bundle_ && bundle_->generation > region.generation &&
-       bundle_->generation == reset.generation);
+  const bool renames = region.generation == 0 ||
+                       (bundle_ && bundle_->generation > region.generation &&
+                        bundle_->generation == reset.generation);
   if (!renames && reset.generation != region.generation + 1) {
-    return Refuse(
-        fmt::format("generation {} is on record", region.generation));
+    return Refuse(fmt::format("generation {} is on record", region.generation));
   }
   const std::vector<InstanceName> entries =
       FormingEntries(reset, data_.instances);
--- a/filbertwick/core/state/control_state.cc
+++ b/filbertwick/core/state/control_state.cc
@@ -1,4 +1,5 @@
 #include "filbertwick/core/state/control_state.h"
+#include "filbertwick/bundle/bundle_parser.h"
 
 #include <fmt/format.h>
 
@@ -42,8 +43,8 @@
   }
   // Drop half at once, so that the cost of moving is spread.
   const auto end = data_.recent.begin() + kRecentChanges / 2;
-  for (const FoldedChange& old : std::ranges::subrange(
-           data_.recent.begin(), end)) {
+  for (const FoldedChange& old :
+       std::ranges::subrange(data_.recent.begin(), end)) {
     verdicts_.erase(old.change);
   }
   data_.recent.erase(data_.recent.begin(), end);
@@ -114,8 +115,8 @@
   std::vector<InstanceName> entries;
   for (const InstanceName& name : state->sets.back().names) {
     const auto it = data_.instances.find(name);
-    const bool is_entry = it != data_.instances.end() &&
-                          it->second.role == wire::Role::kEntry;
+    const bool is_entry =
+        it != data_.instances.end() && it->second.role == wire::Role::kEntry;
     if (is_entry && name != owner) {
       entries.push_back(name);
     }
--- a/filbertwick/core/state/member.cc
+++ b/filbertwick/core/state/member.cc
@@ -40,8 +40,7 @@
     return true;
   }
   PeerView& view = it->second;
-  if (std::ranges::find(view.retired, from.incarnation) !=
-      view.retired.end()) {
+  if (std::ranges::find(view.retired, from.incarnation) != view.retired.end()) {
     return false;
   }
   if (view.incarnation != from.incarnation) {
@@ -141,8 +140,7 @@
     return;
   }
   requested_at_ = now;
-  effects.push_back(
-      SendEffect{from, wire::RecordsRequest{control().offset()}});
+  effects.push_back(SendEffect{from, wire::RecordsRequest{control().offset()}});
 }
 
 void Member::OnRecordsRequest(const wire::Sender& from,
--- a/filbertwick/core/state/ownership.cc
+++ b/filbertwick/core/state/ownership.cc
@@ -41,8 +41,7 @@
   const RegionState* region = member_.knowledge().region();
   const wire::InstanceInfo& self = member_.settings().info;
   const auto former = region->formers.find(self.name);
-  if (former == region->formers.end() ||
-      former->second != self.incarnation) {
+  if (former == region->formers.end() || former->second != self.incarnation) {
     return;
   }
   for (wire::ShardId shard = 0; shard < region->epochs.size(); ++shard) {
@@ -135,8 +134,7 @@
   std::vector<wire::ShardEpoch> taken;
   for (wire::ShardId shard = 0; shard < wire::kShardsPerRegion; ++shard) {
     const wire::Epoch epoch = member_.knowledge().EpochOf(shard);
-    if (terms_.contains(shard) ||
-        !OwnerIsGone(now.monotonic, shard, epoch)) {
+    if (terms_.contains(shard) || !OwnerIsGone(now.monotonic, shard, epoch)) {
       continue;
     }
     const wire::Epoch next = {epoch.generation, epoch.number + 1, 0, self};
@@ -157,8 +155,7 @@
 
 bool Ownership::Holds(wire::ShardId shard) const {
   const ShardTerm* term = FindTerm(shard);
-  return term != nullptr &&
-         member_.knowledge().EpochOf(shard) == term->epoch;
+  return term != nullptr && member_.knowledge().EpochOf(shard) == term->epoch;
 }
 
 const ShardTerm* Ownership::FindTerm(wire::ShardId shard) const {
@@ -206,8 +203,8 @@
 }
 
 uint32_t Ownership::serving() const {
-  return static_cast<uint32_t>(std::ranges::count_if(
-      terms_ | std::views::values, &ShardTerm::serving));
+  return static_cast<uint32_t>(
+      std::ranges::count_if(terms_ | std::views::values, &ShardTerm::serving));
 }
 
 uint64_t Ownership::Hash() const {
--- a/filbertwick/core/state/ownership.h
+++ b/filbertwick/core/state/ownership.h
@@ -17,14 +17,14 @@
 struct ShardTerm {
   wire::Epoch epoch;
   /// When more than half of the members knew the epoch; unset before.
-  std::optional<Instant> carried_at;
+  std::optional<Instant> carried_at = std::nullopt;
   /// The owner before gave the shard itself, so nothing has to lapse.
   bool handed_over = false;
   bool serving = false;
   /// Nobody served the shard before.
   bool first_ever = false;
   Instant serving_since = Instant::min();
-  WallTime serving_since_wall;
+  WallTime serving_since_wall = {};
 };
 
 /// What Ownership tells the entry around it.
--- a/filbertwick/wire/job.cc
+++ b/filbertwick/wire/job.cc
@@ -25,11 +25,21 @@
 
 std::string_view ToString(Reason reason) {
   static constexpr std::array<std::string_view, 17> kTexts = {
-      "none",        "unknown_service",      "unknown_team",
-      "invalid_job", "over_quota",           "overloaded",
-      "no_upstream", "digest_mismatch",      "no_evidence",
-      "stopping",    "other_region_cut_off", "deadline",
-      "cancelled",   "task_failed",          "worker_lost",
+      "none",
+      "unknown_service",
+      "unknown_team",
+      "invalid_job",
+      "over_quota",
+      "overloaded",
+      "no_upstream",
+      "digest_mismatch",
+      "no_evidence",
+      "stopping",
+      "other_region_cut_off",
+      "deadline",
+      "cancelled",
+      "task_failed",
+      "worker_lost",
       "unknown_job",
       "expired",
   };
