--- a/filbertwick/core/entry/handover.cc
+++ b/filbertwick/core/entry/handover.cc
@@ -135,22 +135,20 @@
 }
 
 void HandoverController::Repeat(const Now& now, Effects& effects) {
-  std::erase_if(sent_, [&](auto& item) {
-    auto& [to, sent] = item;
-    if (sent.repeat_at > now.monotonic) {
-      return false;
-    }
-    const PeerView* view = context_.member.FindView(to);
-    const bool gone =
-        view == nullptr || view->incarnation != sent.message.incarnation;
-    if (gone || sent.tries >= kMaxTries) {
-      return true;
-    }
-    ++sent.tries;
-    sent.repeat_at = now.monotonic + kRepeat;
-    effects.push_back(SendEffect{to, sent.message});
-    return false;
+  // Give up on those that the successor can't take any more.
+  std::erase_if(sent_, [&](const auto& item) {
+    const PeerView* view = context_.member.FindView(item.first);
+    return view == nullptr ||
+           view->incarnation != item.second.message.incarnation ||
+           item.second.tries >= kMaxTries;
   });
+  for (auto& [to, sent] : sent_) {
+    if (sent.repeat_at <= now.monotonic) {
+      ++sent.tries;
+      sent.repeat_at = now.monotonic + kRepeat;
+      effects.push_back(SendEffect{to, sent.message});
+    }
+  }
 }
 
 Instant HandoverController::NextWakeup() const {
--- a/filbertwick/core/state/control_fold.cc
+++ b/filbertwick/core/state/control_fold.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "filbertwick/bundle/bundle_parser.h"
 #include "filbertwick/core/state/control_state.h"
 #include "filbertwick/core/state/rendezvous.h"
 
--- a/filbertwick/core/state/control_state.cc
+++ b/filbertwick/core/state/control_state.cc
@@ -1,4 +1,5 @@
 #include "filbertwick/core/state/control_state.h"
+#include "filbertwick/bundle/bundle_parser.h"
 
 #include <fmt/format.h>
 
