Look up successors and evidence only when they can have changed

Change: an owner heard lately ends the look-up, cached evidence is kept until it lapses or the member sets change, epochs are found by bisection.

--- a/filbertwick/core/state/evidence.cc
+++ b/filbertwick/core/state/evidence.cc
@@ -96,11 +96,12 @@
     if (heard->statement.offset >= offset) {
       return true;
     }
-    return std::ranges::any_of(
-        heard->statement.overrides, [&](const wire::ShardEpoch& known) {
-          return known.shard == epoch.shard && known.epoch >= epoch.epoch &&
-                 epoch.epoch.generation > 0;
-        });
+    // Overrides come in order of shard.
+    const auto& overrides = heard->statement.overrides;
+    const auto it = std::ranges::lower_bound(overrides, epoch.shard, {},
+                                             &wire::ShardEpoch::shard);
+    return it != overrides.end() && it->shard == epoch.shard &&
+           it->epoch >= epoch.epoch && epoch.epoch.generation > 0;
   };
   const std::span<const MemberSet> counted = Counted(sets);
   return !counted.empty() &&
--- a/filbertwick/core/state/evidence.h
+++ b/filbertwick/core/state/evidence.h
@@ -19,6 +19,7 @@
 struct HeardStatement {
   /// When this instance sent the probe that was answered, on its own clock.
   Instant sent;
+  /// Its overrides are in order of shard.
   wire::Statement statement;
   /// The teller counted itself able to vouch.
   bool vouches = false;
--- a/filbertwick/core/state/member.cc
+++ b/filbertwick/core/state/member.cc
@@ -112,7 +112,7 @@
   }
   const Instant counted = settings_.rules.round_trip_age ? sent : now;
   evidence_.Record(from.name, {counted, reply.statement, reply.vouches});
-  evidence_stale_ = true;
+  evidence_newer_ = true;
   gate_.Update(now, knowledge_.region(), control().offset());
   hooks_.load(from.name, reply.load);
   view.load = reply.load;
@@ -242,14 +242,20 @@
 }
 
 bool Member::EvidenceHolds(Instant now) const {
+  // Statements that once sufficed count until they lapse, whatever came later;
+  // only a change of the sets makes them worthless.
+  if (!evidence_stale_ && evidence_until_ >= now) {
+    return true;
+  }
   return EvidenceUntil() >= now;
 }
 
 Instant Member::EvidenceUntil() const {
-  if (evidence_stale_) {
+  if (evidence_stale_ || evidence_newer_) {
     evidence_until_ =
         evidence_.HoldsUntil(Sets(), control().offset(), vouches());
     evidence_stale_ = false;
+    evidence_newer_ = false;
   }
   return evidence_until_;
 }
@@ -326,7 +332,7 @@
   }
   ticked_at_ = now;
   gate_.Update(now, knowledge_.region(), control().offset());
-  evidence_stale_ |= !gate_.open();
+  evidence_newer_ |= !gate_.open();
   const bool asks = settings_.info.role == wire::Role::kEntry || !vouches();
   const bool all = std::exchange(probe_all_, false);
   if (!asks) {
--- a/filbertwick/core/state/member.h
+++ b/filbertwick/core/state/member.h
@@ -143,6 +143,8 @@
   /// Cached answer of EvidenceHolds(), valid until then.
   mutable Instant evidence_until_ = Instant::min();
   mutable bool evidence_stale_ = true;
+  /// Statements came that may make the cached answer last longer.
+  mutable bool evidence_newer_ = true;
 };
 
 }  // namespace filbertwick::core
--- a/filbertwick/core/state/ownership.cc
+++ b/filbertwick/core/state/ownership.cc
@@ -39,6 +39,11 @@
 
 void Ownership::AdoptReset() {
   const RegionState* region = member_.knowledge().region();
+  // A reset gives its epochs once; what was lost since stays lost.
+  if (adopted_ == region->formed) {
+    return;
+  }
+  adopted_ = region->formed;
   const wire::InstanceInfo& self = member_.settings().info;
   const auto former = region->formers.find(self.name);
   if (former == region->formers.end() || former->second != self.incarnation) {
@@ -106,6 +111,12 @@
     return !terms_.contains(shard) &&
            now - seen.at >= 2 * timing.probe_interval;
   }
+  // Most owners are heard all the time: nothing more is looked up for them.
+  const PeerView* view = member_.FindView(epoch.owner);
+  if (view != nullptr && view->replaced_at <= seen.at &&
+      now - view->heard_at < timing.takeover_silence) {
+    return false;
+  }
   const std::vector<InstanceName> order =
       member_.control().Successors(self.region, shard, epoch.owner);
   const auto it = std::ranges::find(order, self.name);
@@ -113,7 +124,6 @@
     return false;
   }
   const Duration stagger = timing.takeover_stagger * (it - order.begin());
-  const PeerView* view = member_.FindView(epoch.owner);
   Instant silent_since = std::max(seen.at, member_.resumed_at());
   if (view == nullptr) {
     return now - silent_since >= timing.probe_interval + stagger;
--- a/filbertwick/core/state/ownership.h
+++ b/filbertwick/core/state/ownership.h
@@ -94,6 +94,8 @@
   /// When each shard's present epoch was first seen.
   std::map<wire::ShardId, SeenEpoch> seen_;
   bool takes_ = true;
+  /// Offset of the reset whose epochs were adopted last.
+  wire::LogOffset adopted_ = 0;
 };
 
 }  // namespace filbertwick::core
