--- a/bench/bench_faults.cc
+++ b/bench/bench_faults.cc
@@ -62,6 +62,7 @@
   uint64_t events = 0;
   uint64_t violating_seeds = 0;
   std::map<std::string, uint64_t> promises;
+  std::map<filbertwick::wire::Reason, uint64_t> reasons;
 };
 
 uint64_t ParseNumber(std::string_view text) {
@@ -209,6 +210,9 @@
   totals.violating_seeds += result.violations.empty() ? 0 : 1;
   totals.late_starts += result.late_starts;
   totals.events += result.events;
+  for (const auto& [reason, n] : result.jobs.reasons) {
+    totals.reasons[reason] += n;
+  }
   std::set<std::string> promises;
   for (const Violation& it : result.violations) {
     promises.insert(it.promise);
@@ -228,6 +232,10 @@
   for (const auto& [promise, n] : totals.promises) {
     fmt::print("{}: broken in {} schedules\n", promise, n);
   }
+  for (const auto& [reason, n] : totals.reasons) {
+    fmt::print("{}: {} jobs, {:.3f}%\n", ToString(reason), n,
+               Share(n, totals.jobs));
+  }
   fmt::print(
       "{:.1f} schedules/s, {} events, failed {:.3f}%, refused {:.3f}%, starts "
       "after a not run by an older request {}\n",
--- a/filbertwick/harness/caller_pool.cc
+++ b/filbertwick/harness/caller_pool.cc
@@ -198,6 +198,9 @@
   call.impatient = impl_->random.Chance(impl_->settings.impatience);
   impl_->Send(call,
               job.entry.empty() ? impl_->PickEntry(InstanceName()) : job.entry);
+  if (job.steady) {
+    return number;
+  }
   // Some callers change their mind, or use an id for two bodies.
   const auto soon = [this] {
     return impl_->random.Between(Duration(0), std::chrono::milliseconds(600));
@@ -256,7 +259,11 @@
       ++counts.unanswered;
       continue;
     }
-    switch (call->result.answer->outcome) {
+    const wire::JobAnswer& answer = *call->result.answer;
+    if (answer.outcome != wire::JobOutcome::kComplete) {
+      ++counts.reasons[answer.reason];
+    }
+    switch (answer.outcome) {
       case wire::JobOutcome::kComplete:
         ++counts.complete;
         break;
--- a/filbertwick/harness/caller_pool.h
+++ b/filbertwick/harness/caller_pool.h
@@ -42,6 +42,8 @@
   std::string id;
   /// First entry; one that is ready when empty.
   InstanceName entry;
+  /// The caller neither cancels nor sends another body.
+  bool steady = false;
   /// Bytes of each payload at the least.
   size_t payload_bytes = 0;
 };
@@ -64,6 +66,8 @@
   uint64_t failed = 0;
   uint64_t refused = 0;
   uint64_t unanswered = 0;
+  /// Failed and refused jobs by reason.
+  std::map<wire::Reason, uint64_t> reasons;
 };
 
 /// Callers that submit jobs, wait, and resubmit through other entries until
--- a/filbertwick/harness/testbed.cc
+++ b/filbertwick/harness/testbed.cc
@@ -105,6 +105,7 @@
          world_->settings().deployment.NamesOf(wire::Role::kEntry)) {
       CallerJob job;
       job.entry = entry;
+      job.steady = true;
       jobs.push_back(callers_->Submit(job));
     }
   }
