Give each generation its time before the next is formed

Cause: after a reset was folded, the others had not heard of it and did not vouch yet, so the entry that had formed it saw the majority as gone and formed another at once; a cold boot made six generations in 37 ms, and jobs born then were answered worker_lost. Change: the wait before a reset starts anew with each generation.

--- a/filbertwick/core/entry/registrar.h
+++ b/filbertwick/core/entry/registrar.h
@@ -42,6 +42,8 @@
   Instant caught_up_at_ = Instant::min();
   /// Since when a new generation has been needed.
   std::optional<Instant> needed_since_;
+  /// The generation that was in force then.
+  uint32_t needed_after_ = 0;
   /// Since when the step to be settled has been carried.
   std::optional<Instant> carried_since_;
   wire::LogOffset carried_step_ = 0;
