--- /dev/null
+++ b/filbertwick/http/client.cc
@@ -0,0 +1,553 @@
+#include "filbertwick/http/client.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <deque>
+#include <exception>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "filbertwick/http/format.h"
+
+namespace filbertwick::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+using Parser = beast::http::response_parser<beast::http::string_body>;
+
+constexpr uint32_t kMaxHeaderBytes = 16 * 1024;
+constexpr size_t kHeadReadBytes = 4 * 1024;
+constexpr size_t kBodyReadBytes = 64 * 1024;
+
+Response ToResponse(Parser& parser) {
+  auto message = parser.release();
+  Response response;
+  response.status = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    response.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  response.body = std::move(message.body());
+  return response;
+}
+
+std::string FormatHead(const Request& request, std::string_view host) {
+  std::string head;
+  head.reserve(256);
+  head += request.method;
+  head += ' ';
+  head += request.target;
+  head += " HTTP/1.1\r\n";
+  if (request.FindHeader("Host").empty()) {
+    head += "Host: ";
+    head += host;
+    head += "\r\n";
+  }
+  AppendHeaders(request.headers, head);
+  if (!request.body.empty() ||
+      (request.method != "GET" && request.method != "HEAD")) {
+    AppendContentLength(request.body.size(), head);
+  }
+  head += "\r\n";
+  return head;
+}
+
+/// One call from Call() until its hook is due.
+struct OpenCall {
+  Request request;
+  CallHook done;
+  Instant deadline;
+  /// Its hook is due; it is not sent any more.
+  bool ended = false;
+};
+
+}  // namespace
+
+/// The pool of connections and the calls that wait for one.
+class Client::Impl : public std::enable_shared_from_this<Client::Impl> {
+ public:
+  Impl(asio::io_context& context, ClientSettings settings)
+      : context_(context),
+        timer_(context),
+        settings_(std::move(settings)),
+        host_(fmt::format("{}:{}", settings_.host, settings_.port)) {
+    // A host that is no IP number leaves the unspecified address: connecting
+    // fails.
+    ErrorCode ec;
+    const auto address = asio::ip::make_address(settings_.host, ec);
+    if (!ec) {
+      endpoint_ = Tcp::endpoint(address, settings_.port);
+    }
+  }
+
+  uint64_t Call(Request request, Duration timeout, CallHook done);
+  /// Ends a call early, wherever it is.
+  void End(uint64_t call, absl::Status status);
+  /// Ends everything; no hook runs any more.
+  void Shutdown();
+
+ private:
+  class Connection;
+
+  void Close();
+  void Pump();
+  /// An idle connection young enough to be used, or null.
+  std::shared_ptr<Connection> TakeIdle();
+  void Finish(uint64_t call,
+              absl::StatusOr<Response> response,
+              CallProgress progress);
+  /// Finishes a call from the context's loop.
+  void PostFinish(uint64_t call, absl::Status status, CallProgress progress);
+  void ArmTimer();
+  void OnTimer();
+
+  asio::io_context& context_;
+  asio::steady_timer timer_;
+  const ClientSettings settings_;
+  const std::string host_;
+  Tcp::endpoint endpoint_;
+  std::unordered_map<uint64_t, OpenCall> calls_;
+  /// Calls without a connection, oldest first; may name ended ones.
+  std::deque<uint64_t> queue_;
+  std::set<std::pair<Instant, uint64_t>> deadlines_;
+  Instant timer_due_ = Instant::max();
+  /// Connections with a call, by call.
+  std::unordered_map<uint64_t, std::shared_ptr<Connection>> busy_;
+  /// Connections without a call, the last used at the back.
+  std::vector<std::shared_ptr<Connection>> idle_;
+  uint64_t last_call_ = 0;
+  bool abandoned_ = false;
+};
+
+/// One connection, used by one call at a time.
+class Client::Impl::Connection
+    : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(Impl& owner, asio::io_context& context)
+      : owner_(owner), socket_(context) {}
+
+  /// Sends a call's request, connecting first if need be.
+  void Send(uint64_t call, const Request& request);
+  void Close();
+
+  CallProgress progress() const { return progress_; }
+  Instant idle_since() const { return idle_since_; }
+
+ private:
+  void OnConnect(const ErrorCode& ec);
+  void Write();
+  void Read();
+  void OnRead(const ErrorCode& ec, size_t n);
+  /// Parses what is read; true when something changed.
+  bool Parse();
+  void ResetParser();
+  void OnResponse();
+  void Fail(std::string_view what, const ErrorCode& ec);
+  /// Fails the present call from the context's loop.
+  void PostFail(const ErrorCode& ec);
+
+  Impl& owner_;
+  Tcp::socket socket_;
+  beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  /// 0 while idle.
+  uint64_t call_ = 0;
+  std::string head_;
+  std::string_view body_;
+  size_t written_ = 0;
+  bool head_only_ = false;
+  bool connected_ = false;
+  bool closed_ = false;
+  /// The request can't be sent to its end; a response may still come.
+  bool write_failed_ = false;
+  CallProgress progress_ = CallProgress::kNotSent;
+  Instant idle_since_;
+};
+
+void Client::Impl::Connection::Send(uint64_t call, const Request& request) {
+  call_ = call;
+  head_ = FormatHead(request, owner_.host_);
+  body_ = request.body;
+  written_ = 0;
+  head_only_ = request.method == "HEAD";
+  progress_ = CallProgress::kNotSent;
+  ResetParser();
+  if (connected_) {
+    Write();
+    return;
+  }
+  socket_.async_connect(owner_.endpoint_,
+                        [self = shared_from_this()](const ErrorCode& ec) {
+                          self->OnConnect(ec);
+                        });
+}
+
+void Client::Impl::Connection::OnConnect(const ErrorCode& ec) {
+  if (closed_) {
+    return;
+  }
+  if (ec) {
+    Fail("can't connect", ec);
+    return;
+  }
+  connected_ = true;
+  ErrorCode option_ec;
+  socket_.non_blocking(true, option_ec);
+  socket_.set_option(Tcp::no_delay(true), option_ec);
+  Read();
+  Write();
+}
+
+void Client::Impl::Connection::Write() {
+  const size_t head_written = std::min(written_, head_.size());
+  const size_t body_written = written_ - head_written;
+  const std::array<asio::const_buffer, 2> buffers = {
+      asio::buffer(head_.data() + head_written, head_.size() - head_written),
+      asio::buffer(body_.data() + body_written, body_.size() - body_written)};
+  ErrorCode ec;
+  const size_t n = socket_.write_some(buffers, ec);
+  written_ += n;
+  if (n > 0) {
+    progress_ = CallProgress::kSent;
+  }
+  if (ec && ec != asio::error::would_block) {
+    // The server may have answered early and closed: then the read tells.
+    write_failed_ = true;
+    if (progress_ == CallProgress::kNotSent) {
+      PostFail(ec);
+    }
+    return;
+  }
+  if (written_ == head_.size() + body_.size()) {
+    return;
+  }
+  socket_.async_wait(
+      Tcp::socket::wait_write,
+      [self = shared_from_this(), call = call_](const ErrorCode& wait_ec) {
+        if (!wait_ec && !self->closed_ && self->call_ == call) {
+          self->Write();
+        }
+      });
+}
+
+void Client::Impl::Connection::Read() {
+  const bool in_body = parser_ && parser_->is_header_done();
+  socket_.async_read_some(
+      buffer_.prepare(in_body ? kBodyReadBytes : kHeadReadBytes),
+      [self = shared_from_this()](const ErrorCode& ec, size_t n) {
+        self->OnRead(ec, n);
+      });
+}
+
+void Client::Impl::Connection::OnRead(const ErrorCode& ec, size_t n) {
+  if (closed_) {
+    return;
+  }
+  buffer_.commit(n);
+  if (ec && call_ != 0 && ec == asio::error::eof) {
+    // A body without a length ends with the connection.
+    ErrorCode eof_ec;
+    if (parser_->got_some()) {
+      parser_->put_eof(eof_ec);
+    }
+    if (!eof_ec && parser_->is_done()) {
+      OnResponse();
+      return;
+    }
+  }
+  if (ec || call_ == 0) {
+    Fail("connection lost", ec);
+    return;
+  }
+  while (!closed_ && buffer_.size() > 0 && Parse()) {
+  }
+  if (!closed_) {
+    Read();
+  }
+}
+
+bool Client::Impl::Connection::Parse() {
+  ErrorCode ec;
+  const size_t n = parser_->put(buffer_.data(), ec);
+  buffer_.consume(n);
+  if (ec && ec != beast::http::error::need_more) {
+    Fail("malformed response", ec);
+    return false;
+  }
+  if (!parser_->is_done()) {
+    return n > 0;
+  }
+  if (parser_->get().result_int() < 200) {
+    ResetParser();
+    return true;
+  }
+  OnResponse();
+  return true;
+}
+
+void Client::Impl::Connection::ResetParser() {
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(kMaxHeaderBytes);
+  parser_->body_limit(owner_.settings_.max_body_bytes);
+  parser_->skip(head_only_);
+}
+
+void Client::Impl::Connection::OnResponse() {
+  const auto self = shared_from_this();
+  const uint64_t call = call_;
+  const bool complete = written_ == head_.size() + body_.size();
+  const bool reusable = parser_->keep_alive() && complete && !write_failed_ &&
+                        buffer_.size() == 0;
+  Response response = ToResponse(*parser_);
+  call_ = 0;
+  body_ = {};
+  owner_.busy_.erase(call);
+  if (reusable) {
+    idle_since_ = MonotonicClock::now();
+    owner_.idle_.push_back(self);
+  } else {
+    Close();
+  }
+  owner_.Finish(call, std::move(response), CallProgress::kSent);
+}
+
+void Client::Impl::Connection::Fail(std::string_view what,
+                                    const ErrorCode& ec) {
+  const auto self = shared_from_this();
+  const uint64_t call = call_;
+  Close();
+  if (call != 0) {
+    owner_.Finish(call,
+                  absl::UnavailableError(fmt::format("{}: {}: {}", owner_.host_,
+                                                     what, ec.message())),
+                  progress_);
+  }
+}
+
+void Client::Impl::Connection::PostFail(const ErrorCode& ec) {
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this(), call = call_, ec] {
+               if (!self->closed_ && self->call_ == call) {
+                 self->Fail("can't send", ec);
+               }
+             });
+}
+
+void Client::Impl::Connection::Close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  ErrorCode ec;
+  socket_.close(ec);
+  const auto self = shared_from_this();
+  owner_.busy_.erase(call_);
+  std::erase(owner_.idle_, self);
+  call_ = 0;
+}
+
+uint64_t Client::Impl::Call(Request request, Duration timeout, CallHook done) {
+  const uint64_t call = ++last_call_;
+  const bool valid = IsToken(request.method) && IsTarget(request.target);
+  const Instant deadline = MonotonicClock::now() + timeout;
+  calls_.emplace(call, OpenCall{std::move(request), std::move(done), deadline});
+  deadlines_.emplace(deadline, call);
+  if (!valid) {
+    PostFinish(call,
+               absl::InvalidArgumentError("method or target is malformed"),
+               CallProgress::kNotSent);
+    return call;
+  }
+  ArmTimer();
+  queue_.push_back(call);
+  Pump();
+  return call;
+}
+
+void Client::Impl::Pump() {
+  while (!queue_.empty()) {
+    auto connection = TakeIdle();
+    if (!connection && busy_.size() >= settings_.max_connections) {
+      return;
+    }
+    const uint64_t call = queue_.front();
+    queue_.pop_front();
+    const auto it = calls_.find(call);
+    if (it == calls_.end() || it->second.ended) {
+      if (connection) {
+        idle_.push_back(connection);
+      }
+      continue;
+    }
+    if (!connection) {
+      connection = std::make_shared<Connection>(*this, context_);
+    }
+    busy_.emplace(call, connection);
+    connection->Send(call, it->second.request);
+  }
+}
+
+std::shared_ptr<Client::Impl::Connection> Client::Impl::TakeIdle() {
+  if (idle_.empty()) {
+    return nullptr;
+  }
+  auto connection = idle_.back();
+  if (connection->idle_since() + settings_.idle_timeout <
+      MonotonicClock::now()) {
+    // The others are older still.
+    const auto old = std::exchange(idle_, {});
+    std::ranges::for_each(old, [](const auto& it) { it->Close(); });
+    return nullptr;
+  }
+  idle_.pop_back();
+  return connection;
+}
+
+void Client::Impl::End(uint64_t call, absl::Status status) {
+  const auto open = calls_.find(call);
+  if (open == calls_.end() || open->second.ended) {
+    return;
+  }
+  open->second.ended = true;
+  CallProgress progress = CallProgress::kNotSent;
+  const auto busy = busy_.find(call);
+  if (busy != busy_.end()) {
+    const auto connection = busy->second;
+    progress = connection->progress();
+    connection->Close();
+  }
+  PostFinish(call, std::move(status), progress);
+}
+
+void Client::Impl::PostFinish(uint64_t call,
+                              absl::Status status,
+                              CallProgress progress) {
+  asio::post(context_, [weak = weak_from_this(), call,
+                        status = std::move(status), progress] {
+    if (const auto self = weak.lock()) {
+      self->Finish(call, status, progress);
+    }
+  });
+}
+
+void Client::Impl::Finish(uint64_t call,
+                          absl::StatusOr<Response> response,
+                          CallProgress progress) {
+  const auto it = calls_.find(call);
+  if (it == calls_.end()) {
+    return;
+  }
+  CallHook done = std::move(it->second.done);
+  deadlines_.erase({it->second.deadline, call});
+  calls_.erase(it);
+  Pump();
+  if (!abandoned_) {
+    done({std::move(response), progress});
+  }
+}
+
+void Client::Impl::ArmTimer() {
+  if (deadlines_.empty() || deadlines_.begin()->first >= timer_due_) {
+    return;
+  }
+  timer_due_ = deadlines_.begin()->first;
+  timer_.expires_at(
+      std::chrono::steady_clock::time_point(timer_due_.time_since_epoch()));
+  timer_.async_wait([weak = weak_from_this()](const ErrorCode& ec) {
+    const auto self = weak.lock();
+    if (!ec && self) {
+      self->OnTimer();
+    }
+  });
+}
+
+void Client::Impl::OnTimer() {
+  timer_due_ = Instant::max();
+  const Instant now = MonotonicClock::now();
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    const uint64_t call = deadlines_.begin()->second;
+    deadlines_.erase(deadlines_.begin());
+    End(call, absl::DeadlineExceededError(
+                  fmt::format("{}: no response in time", host_)));
+  }
+  ArmTimer();
+}
+
+void Client::Impl::Close() {
+  abandoned_ = true;
+  timer_.cancel();
+  queue_.clear();
+  calls_.clear();
+  deadlines_.clear();
+  const auto busy = std::exchange(busy_, {});
+  for (const auto& [call, connection] : busy) {
+    connection->Close();
+  }
+  const auto idle = std::exchange(idle_, {});
+  std::ranges::for_each(idle, [](const auto& it) { it->Close(); });
+}
+
+void Client::Impl::Shutdown() {
+  abandoned_ = true;
+  if (context_.stopped()) {
+    Close();
+    return;
+  }
+  asio::post(context_, [self = shared_from_this()] { self->Close(); });
+}
+
+Client::Client(std::shared_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+Client::~Client() {
+  try {
+    impl_->Shutdown();
+  } catch (const std::exception&) {
+    // Without memory to post the end, the context frees the rest.
+  }
+}
+
+std::unique_ptr<Client> Client::Create(asio::io_context& context,
+                                       ClientSettings settings) {
+  auto impl = std::make_shared<Impl>(context, std::move(settings));
+  return std::unique_ptr<Client>(new Client(std::move(impl)));
+}
+
+uint64_t Client::Call(Request request, Duration timeout, CallHook done) {
+  return impl_->Call(std::move(request), timeout, std::move(done));
+}
+
+void Client::Cancel(uint64_t call) {
+  impl_->End(call, absl::CancelledError("the call was cancelled"));
+}
+
+absl::StatusOr<Response> CallOnce(const ClientSettings& settings,
+                                  Request request,
+                                  Duration timeout) {
+  asio::io_context context(1);
+  absl::StatusOr<Response> response = absl::UnknownError("no outcome");
+  const auto client = Client::Create(context, settings);
+  client->Call(std::move(request), timeout, [&](CallResult result) {
+    response = std::move(result.response);
+    context.stop();
+  });
+  context.run();
+  return response;
+}
+
+}  // namespace filbertwick::http
--- a/filbertwick/http/client.h
+++ b/filbertwick/http/client.h
@@ -23,6 +23,9 @@
   /// Connections open at a time; further calls wait in order.
   size_t max_connections = 64;
   size_t max_body_bytes = 64 * 1024 * 1024;
+  /// A connection idle for longer is not used again; keep it below the
+  /// server's own limit, so that both don't meet.
+  Duration idle_timeout = std::chrono::seconds(30);
 };
 
 /// How far a failed call came.
@@ -35,7 +38,8 @@
 
 /// Outcome of a call.
 struct CallResult {
-  /// The response, or Unavailable, DeadlineExceeded or Cancelled.
+  /// The response, or Unavailable, DeadlineExceeded, Cancelled, or
+  /// InvalidArgument for a request that can't be written.
   absl::StatusOr<Response> response;
   CallProgress progress = CallProgress::kNotSent;
 };
@@ -44,7 +48,9 @@
 using CallHook = std::function<void(CallResult)>;
 
 /// Keeps connections to one server and sends requests over them. A request
-/// that failed after a byte was sent is never sent again by the client.
+/// that failed after a byte was sent is never sent again by the client. All
+/// calls are made on the context's thread; hooks never run inside a call of
+/// the client, and not after its destruction.
 class Client {
  public:
   /// A client that connects on first use.
--- /dev/null
+++ b/unit_tests/http_client_test.cc
@@ -0,0 +1,248 @@
+#include <criterion/criterion.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <memory>
+#include <vector>
+
+#include "filbertwick/http/client.h"
+#include "filbertwick/http/server.h"
+#include "unit_tests/http_fixture.h"
+
+namespace {
+
+using filbertwick::Duration;
+using filbertwick::http::CallProgress;
+using filbertwick::http::CallResult;
+using filbertwick::http::Client;
+using filbertwick::http::ClientSettings;
+using filbertwick::http::Request;
+using filbertwick::http::Responder;
+using filbertwick::http::Server;
+using filbertwick::test::LoopThread;
+
+constexpr Duration kPatience = std::chrono::seconds(60);
+constexpr Duration kShort = std::chrono::milliseconds(30);
+
+/// A client on its own thread.
+struct TestClient {
+  explicit TestClient(const ClientSettings& settings) {
+    loop.Run([&] { client = Client::Create(loop.context(), settings); });
+  }
+  ~TestClient() {
+    loop.Stop();
+    client.reset();
+  }
+
+  std::future<CallResult> Call(Request request, Duration timeout) {
+    auto promise = std::make_shared<std::promise<CallResult>>();
+    loop.Run([&] {
+      last_call = client->Call(
+          std::move(request), timeout,
+          [promise](const CallResult& result) { promise->set_value(result); });
+    });
+    return promise->get_future();
+  }
+
+  LoopThread loop;
+  std::unique_ptr<Client> client;
+  uint64_t last_call = 0;
+};
+
+/// A listener whose connections are served by hand, one at a time.
+struct RawServer {
+  RawServer() : acceptor(context, {boost::asio::ip::tcp::v4(), 0}) {
+    settings.port = acceptor.local_endpoint().port();
+  }
+
+  boost::asio::ip::tcp::socket Accept() { return acceptor.accept(); }
+
+  static void ReadHead(boost::asio::ip::tcp::socket& socket) {
+    std::string bytes;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(bytes),
+                            "\r\n\r\n");
+  }
+
+  static void Send(boost::asio::ip::tcp::socket& socket,
+                   std::string_view bytes) {
+    boost::asio::write(socket, boost::asio::buffer(bytes.data(), bytes.size()));
+  }
+
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor;
+  ClientSettings settings;
+};
+
+Test(http_client, a_refused_connection_was_not_sent) {
+  ClientSettings settings;
+  {
+    RawServer closed;
+    settings = closed.settings;
+  }
+  TestClient client(settings);
+  const CallResult result = client.Call({}, kPatience).get();
+  cr_assert(absl::IsUnavailable(result.response.status()));
+  cr_assert(result.progress == CallProgress::kNotSent);
+}
+
+Test(http_client, a_host_that_is_no_ip_number_and_a_bad_target_fail) {
+  ClientSettings settings;
+  settings.host = "no.ip.number";
+  TestClient client(settings);
+  cr_assert(
+      absl::IsUnavailable(client.Call({}, kPatience).get().response.status()));
+  const CallResult bad = client.Call({"GET", "/a b", {}, {}}, kPatience).get();
+  cr_assert(absl::IsInvalidArgument(bad.response.status()));
+  cr_assert(bad.progress == CallProgress::kNotSent);
+}
+
+Test(http_client, a_kept_connection_closed_before_the_response_counts_as_sent) {
+  RawServer server;
+  TestClient client(server.settings);
+  auto first = client.Call({}, kPatience);
+  auto socket = server.Accept();
+  RawServer::ReadHead(socket);
+  RawServer::Send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  cr_assert_eq(first.get().response->body, "ok");
+  auto second = client.Call({}, kPatience);
+  RawServer::ReadHead(socket);
+  socket.close();
+  const CallResult result = second.get();
+  cr_assert(absl::IsUnavailable(result.response.status()));
+  cr_assert(result.progress == CallProgress::kSent);
+}
+
+Test(http_client, a_connection_closed_while_idle_is_replaced) {
+  RawServer server;
+  TestClient client(server.settings);
+  for (int i = 0; i < 3; ++i) {
+    auto call = client.Call({}, kPatience);
+    auto socket = server.Accept();
+    RawServer::ReadHead(socket);
+    RawServer::Send(socket,
+                    "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                    "Content-Length: 1\r\n\r\nx");
+    cr_assert_eq(call.get().response->body, "x");
+  }
+}
+
+Test(http_client, a_body_may_end_with_the_connection) {
+  RawServer server;
+  TestClient client(server.settings);
+  auto call = client.Call({}, kPatience);
+  auto socket = server.Accept();
+  RawServer::ReadHead(socket);
+  RawServer::Send(socket,
+                  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 200 OK\r\n\r\nrest");
+  socket.close();
+  cr_assert_eq(call.get().response->body, "rest");
+}
+
+Test(http_client, a_cut_or_malformed_response_fails) {
+  RawServer server;
+  TestClient client(server.settings);
+  for (const std::string_view bytes :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx", "nonsense\r\n\r\n"}) {
+    auto call = client.Call({}, kPatience);
+    auto socket = server.Accept();
+    RawServer::ReadHead(socket);
+    RawServer::Send(socket, bytes);
+    socket.close();
+    const CallResult result = call.get();
+    cr_assert(absl::IsUnavailable(result.response.status()));
+    cr_assert(result.progress == CallProgress::kSent);
+  }
+}
+
+Test(http_client, a_timeout_tells_whether_the_request_was_sent) {
+  RawServer server;
+  server.settings.max_connections = 1;
+  TestClient client(server.settings);
+  auto sent = client.Call({}, kPatience);
+  const uint64_t sent_call = client.last_call;
+  auto queued = client.Call({}, kShort);
+  const CallResult late = queued.get();
+  cr_assert(absl::IsDeadlineExceeded(late.response.status()));
+  cr_assert(late.progress == CallProgress::kNotSent);
+  auto socket = server.Accept();
+  RawServer::ReadHead(socket);
+  client.loop.Run([&] { client.client->Cancel(sent_call); });
+  const CallResult cancelled = sent.get();
+  cr_assert(absl::IsCancelled(cancelled.response.status()));
+  cr_assert(cancelled.progress == CallProgress::kSent);
+}
+
+Test(http_client, a_cancelled_call_in_the_queue_is_never_sent) {
+  RawServer server;
+  server.settings.max_connections = 1;
+  TestClient client(server.settings);
+  auto first = client.Call({"GET", "/first", {}, {}}, kPatience);
+  auto second = client.Call({"GET", "/second", {}, {}}, kPatience);
+  const uint64_t second_call = client.last_call;
+  auto third = client.Call({"GET", "/third", {}, {}}, kPatience);
+  client.loop.Run([&] { client.client->Cancel(second_call); });
+  const CallResult result = second.get();
+  cr_assert(absl::IsCancelled(result.response.status()));
+  cr_assert(result.progress == CallProgress::kNotSent);
+  auto socket = server.Accept();
+  RawServer::ReadHead(socket);
+  RawServer::Send(socket, "HTTP/1.1 204 No Content\r\n\r\n");
+  cr_assert_eq(first.get().response->status, 204);
+  std::string head;
+  boost::asio::read_until(socket, boost::asio::dynamic_buffer(head),
+                          "\r\n\r\n");
+  cr_assert(head.starts_with("GET /third "));
+  RawServer::Send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  cr_assert(third.get().response.ok());
+}
+
+Test(http_client, many_calls_share_few_connections) {
+  constexpr int kCalls = 2'000;
+  LoopThread loop;
+  std::unique_ptr<Server> server;
+  loop.Run([&] {
+    server = *Server::Create(loop.context(), {},
+                             [](Request request, const Responder& respond) {
+                               respond({200, {}, std::move(request.body)});
+                             });
+  });
+  ClientSettings settings;
+  settings.port = server->port();
+  settings.max_connections = 4;
+  {
+    TestClient client(settings);
+    std::vector<std::future<CallResult>> calls;
+    calls.reserve(kCalls);
+    for (int i = 0; i < kCalls; ++i) {
+      calls.push_back(
+          client.Call({"PUT", "/", {}, std::to_string(i)}, kPatience));
+    }
+    for (int i = 0; i < kCalls; ++i) {
+      cr_assert_eq(calls[i].get().response->body, std::to_string(i));
+    }
+    cr_assert_leq(server->open_connections(), 4);
+  }
+  loop.Stop();
+}
+
+Test(http_client, large_bodies_go_both_ways) {
+  const std::string large(6'000'000, 'z');
+  LoopThread loop;
+  std::unique_ptr<Server> server;
+  loop.Run([&] {
+    server = *Server::Create(loop.context(), {},
+                             [](Request request, const Responder& respond) {
+                               respond({200, {}, std::move(request.body)});
+                             });
+  });
+  ClientSettings settings;
+  settings.port = server->port();
+  const auto response =
+      filbertwick::http::CallOnce(settings, {"PUT", "/", {}, large}, kPatience);
+  loop.Stop();
+  cr_assert(response.ok());
+  cr_assert_eq(response->body, large);
+}
+
+}  // namespace
--- /dev/null
+++ b/unit_tests/http_fixture.h
@@ -0,0 +1,96 @@
+#ifndef FILBERTWICK_UNIT_TESTS_HTTP_FIXTURE_H_
+#define FILBERTWICK_UNIT_TESTS_HTTP_FIXTURE_H_
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <cstdint>
+#include <functional>
+#include <future>
+#include <string>
+#include <string_view>
+#include <thread>
+
+namespace filbertwick::test {
+
+/// An io_context with its thread, for servers and clients under test.
+class LoopThread {
+ public:
+  LoopThread()
+      : guard_(context_.get_executor()), thread_([this] { context_.run(); }) {}
+  ~LoopThread() { Stop(); }
+
+  /// Ends the thread; objects on the context may then be destroyed.
+  void Stop() {
+    context_.stop();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
+  /// Runs `work` on the thread and waits for it.
+  void Run(const std::function<void()>& work) {
+    std::promise<void> done;
+    boost::asio::post(context_, [&] {
+      work();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  boost::asio::io_context& context() { return context_; }
+
+ private:
+  boost::asio::io_context context_{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      guard_;
+  std::thread thread_;
+};
+
+/// A plain blocking connection to a loopback port.
+class RawConnection {
+ public:
+  explicit RawConnection(uint16_t port) : socket_(context_) {
+    socket_.connect({boost::asio::ip::address_v4::loopback(), port}, ec_);
+  }
+
+  /// Sends bytes; errors are ignored, the other end may have closed.
+  void Send(std::string_view bytes) {
+    boost::asio::write(socket_, boost::asio::buffer(bytes.data(), bytes.size()),
+                       ec_);
+  }
+
+  /// Ends the sending side.
+  void EndSending() {
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec_);
+  }
+
+  /// Everything until the other end closes.
+  std::string ReadAll() {
+    std::string bytes;
+    boost::asio::read(socket_, boost::asio::dynamic_buffer(bytes), ec_);
+    return bytes;
+  }
+
+  /// Exactly `n` bytes, or fewer when the other end closes.
+  std::string Read(size_t n) {
+    std::string bytes(n, '\0');
+    bytes.resize(
+        boost::asio::read(socket_, boost::asio::buffer(bytes.data(), n), ec_));
+    return bytes;
+  }
+
+  void Close() { socket_.close(ec_); }
+
+ private:
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::system::error_code ec_;
+};
+
+}  // namespace filbertwick::test
+
+#endif  // FILBERTWICK_UNIT_TESTS_HTTP_FIXTURE_H_
--- /dev/null
+++ b/unit_tests/http_server_test.cc
@@ -0,0 +1,251 @@
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "filbertwick/http/client.h"
+#include "filbertwick/http/server.h"
+#include "unit_tests/http_fixture.h"
+
+namespace {
+
+using filbertwick::Duration;
+using filbertwick::http::CallOnce;
+using filbertwick::http::Request;
+using filbertwick::http::Responder;
+using filbertwick::http::Server;
+using filbertwick::http::ServerSettings;
+using filbertwick::test::LoopThread;
+using filbertwick::test::RawConnection;
+
+constexpr Duration kPatience = std::chrono::seconds(60);
+constexpr int kDamagedRequests = 5'000;
+constexpr std::string_view kGoodRequest =
+    "PUT /v1/jobs/a?x=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
+
+/// Echoes method, target and body.
+void Echo(Request request, const Responder& respond) {
+  respond({200,
+           {{"X-Method", request.method}},
+           request.target + " " + request.body});
+}
+
+struct EchoServer {
+  explicit EchoServer(const ServerSettings& settings = {},
+                      filbertwick::http::Handler handler = Echo,
+                      filbertwick::http::GoneHook gone = nullptr) {
+    loop.Run([&] {
+      server = *Server::Create(loop.context(), settings, std::move(handler),
+                               std::move(gone));
+    });
+  }
+  ~EchoServer() {
+    loop.Stop();
+    server.reset();
+  }
+
+  uint16_t port() const { return server->port(); }
+
+  bool Works() {
+    filbertwick::http::ClientSettings settings;
+    settings.port = port();
+    const auto response =
+        CallOnce(settings, {"PUT", "/ok", {}, "b"}, kPatience);
+    return response.ok() && response->status == 200 &&
+           response->body == "/ok b";
+  }
+
+  LoopThread loop;
+  std::unique_ptr<Server> server;
+};
+
+bool StartsWithStatus(std::string_view bytes, int status) {
+  return bytes.starts_with("HTTP/1.1 " + std::to_string(status) + " ");
+}
+
+Test(http_server, requests_follow_each_other_on_one_connection) {
+  EchoServer server;
+  RawConnection raw(server.port());
+  raw.Send(kGoodRequest);
+  raw.Send(kGoodRequest);
+  raw.Send("GET /last HTTP/1.1\r\nConnection: close\r\n\r\n");
+  const std::string bytes = raw.ReadAll();
+  const auto first = bytes.find("/v1/jobs/a?x=1 hello");
+  cr_assert(first != std::string::npos);
+  cr_assert(bytes.find("/v1/jobs/a?x=1 hello", first + 1) != std::string::npos);
+  cr_assert(bytes.ends_with("/last "));
+}
+
+Test(http_server, a_body_may_come_in_chunks_and_pieces) {
+  EchoServer server;
+  RawConnection raw(server.port());
+  const std::string request =
+      "POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n"
+      "\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+  for (const char c : request) {
+    raw.Send({&c, 1});
+  }
+  cr_assert(raw.ReadAll().ends_with("/c abcde"));
+}
+
+Test(http_server, a_large_body_is_refused_and_the_answer_arrives) {
+  ServerSettings settings;
+  settings.max_body_bytes = 1000;
+  EchoServer server(settings);
+  RawConnection raw(server.port());
+  raw.Send("PUT / HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n" +
+           std::string(200'000, 'x'));
+  raw.EndSending();
+  const std::string bytes = raw.ReadAll();
+  cr_assert(StartsWithStatus(bytes, 413), "%s", bytes.c_str());
+  cr_assert(bytes.find("body_too_large") != std::string::npos);
+  cr_assert(server.Works());
+}
+
+Test(http_server, a_large_header_and_a_malformed_request_are_refused) {
+  EchoServer server;
+  RawConnection large(server.port());
+  large.Send("GET / HTTP/1.1\r\nA: " + std::string(20'000, 'x'));
+  cr_assert(StartsWithStatus(large.ReadAll(), 431));
+  RawConnection malformed(server.port());
+  malformed.Send("this is not HTTP\r\n\r\n");
+  cr_assert(StartsWithStatus(malformed.ReadAll(), 400));
+  cr_assert(server.Works());
+}
+
+Test(http_server, a_slow_sender_times_out) {
+  ServerSettings settings;
+  settings.read_timeout = std::chrono::milliseconds(50);
+  EchoServer server(settings);
+  RawConnection raw(server.port());
+  raw.Send("PUT / HTTP/1.1\r\nContent-Length: 10\r\n\r\n12345");
+  cr_assert(StartsWithStatus(raw.ReadAll(), 408));
+  cr_assert(server.Works());
+}
+
+Test(http_server, an_idle_connection_is_closed_without_a_response) {
+  ServerSettings settings;
+  settings.idle_timeout = std::chrono::milliseconds(50);
+  EchoServer server(settings);
+  RawConnection raw(server.port());
+  cr_assert_eq(raw.ReadAll().size(), 0);
+}
+
+Test(http_server, tells_when_a_caller_goes_before_its_response) {
+  std::promise<uint64_t> handled;
+  std::promise<uint64_t> gone;
+  Responder kept;
+  EchoServer server(
+      {},
+      [&](const Request& request, Responder respond) {
+        kept = std::move(respond);
+        handled.set_value(request.number);
+      },
+      [&](uint64_t number) { gone.set_value(number); });
+  RawConnection raw(server.port());
+  raw.Send(kGoodRequest);
+  const uint64_t number = handled.get_future().get();
+  raw.Close();
+  cr_assert_eq(gone.get_future().get(), number);
+  kept({});
+}
+
+Test(http_server, a_response_may_come_later_from_another_thread) {
+  std::vector<std::thread> threads;
+  EchoServer server({}, [&](Request request, Responder respond) {
+    threads.emplace_back(
+        [request = std::move(request), respond = std::move(respond)] {
+          Echo(request, respond);
+          Echo(request, respond);  // The second is ignored.
+        });
+  });
+  cr_assert(server.Works());
+  cr_assert(server.Works());
+  server.loop.Run([&] {
+    for (auto& thread : threads) {
+      thread.join();
+    }
+  });
+}
+
+Test(http_server, connections_beyond_the_limit_are_closed) {
+  ServerSettings settings;
+  settings.max_connections = 1;
+  EchoServer server(settings);
+  RawConnection first(server.port());
+  first.Send(kGoodRequest);
+  cr_assert_eq(first.Read(12), "HTTP/1.1 200");
+  RawConnection second(server.port());
+  cr_assert_eq(second.ReadAll().size(), 0);
+  cr_assert_eq(server.server->open_connections(), 1);
+}
+
+Test(http_server, a_stop_lets_the_open_request_end) {
+  std::promise<Responder> handled;
+  EchoServer server({}, [&](const Request&, Responder respond) {
+    handled.set_value(std::move(respond));
+  });
+  RawConnection raw(server.port());
+  RawConnection idle(server.port());
+  raw.Send(kGoodRequest);
+  const Responder respond = handled.get_future().get();
+  server.server->StopAccepting();
+  server.loop.Run([] {});
+  RawConnection late(server.port());
+  cr_assert_eq(late.ReadAll().size(), 0);
+  cr_assert_eq(idle.ReadAll().size(), 0);
+  respond({200, {}, "done"});
+  cr_assert(raw.ReadAll().ends_with("done"));
+}
+
+Test(http_server, a_large_response_reaches_a_slow_reader_whole) {
+  const std::string large(8'000'000, 'y');
+  EchoServer server({}, [&](const Request&, const Responder& respond) {
+    respond({200, {{"Connection", "close"}}, large});
+  });
+  RawConnection raw(server.port());
+  raw.Send(kGoodRequest);
+  cr_assert(raw.ReadAll().ends_with("\r\n\r\n" + large));
+}
+
+Test(http_server, header_values_cannot_add_lines) {
+  EchoServer server({}, [&](const Request&, const Responder& respond) {
+    respond({200, {{"A", "b\r\nEvil: 1"}, {"Connection", "close"}}, ""});
+  });
+  RawConnection raw(server.port());
+  raw.Send(kGoodRequest);
+  cr_assert(raw.ReadAll().find("\r\nEvil") == std::string::npos);
+}
+
+Test(http_server, damaged_requests_never_crash) {
+  ServerSettings settings;
+  settings.max_body_bytes = 10'000;
+  EchoServer server(settings);
+  std::mt19937_64 random(7);
+  int answered = 0;
+  int refused = 0;
+  for (int i = 0; i < kDamagedRequests; ++i) {
+    std::string bytes(kGoodRequest);
+    const uint64_t flips = 1 + random() % 6;
+    for (uint64_t flip = 0; flip < flips; ++flip) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    if (random() % 4 == 0) {
+      bytes.resize(random() % bytes.size());
+    }
+    RawConnection raw(server.port());
+    raw.Send(bytes);
+    raw.EndSending();
+    const std::string answer = raw.ReadAll();
+    answered += StartsWithStatus(answer, 200) ? 1 : 0;
+    refused += StartsWithStatus(answer, 400) ? 1 : 0;
+    cr_assert(answer.empty() || answer.starts_with("HTTP/1.1 "));
+  }
+  cr_assert_gt(answered, 0);
+  cr_assert_gt(refused, 0);
+  cr_assert(server.Works());
+}
+
+}  // namespace
