--- a/filbertwick/bundle/bundle_reader.cc
+++ b/filbertwick/bundle/bundle_reader.cc
@@ -90,8 +90,9 @@
                                                    bundle_.generation);
     if (bundle_.based_on >= bundle_.version) {
       reader_.At("based_on")
-          .Report(fmt::format("must be lower than the version, which is {}",
-                              bundle_.version));
+          .Report(fmt::format(
+              "based_on must be lower than the version, which is {}",
+              bundle_.version));
     }
   }
 
@@ -139,8 +140,9 @@
     }
     if (service.connections < service.slots) {
       reader.At("connections")
-          .Report(fmt::format("must be at least the slots, which are {}",
-                              service.slots));
+          .Report(fmt::format(
+              "connections must be at least the slots, which are {}",
+              service.slots));
     }
     return service;
   }
@@ -179,9 +181,11 @@
       return;
     }
     reader_.At("dedupe_window_ms")
-        .Report(fmt::format(
-            "must be at least the longest task_timeout_ms, which is {}",
-            longest->task_timeout / std::chrono::milliseconds(1)));
+        .Report(
+            fmt::format("dedupe_window_ms must be at least the longest "
+                        "task_timeout_ms, which is "
+                        "{}",
+                        longest->task_timeout / std::chrono::milliseconds(1)));
   }
 
   void CheckQuotas() {
--- a/filbertwick/json/object_reader.cc
+++ b/filbertwick/json/object_reader.cc
@@ -156,8 +156,9 @@
   return texts;
 }
 
-std::optional<ObjectReader> ObjectReader::Object(std::string_view name) {
-  const Json::Value* value = Find(name, true);
+std::optional<ObjectReader> ObjectReader::Object(std::string_view name,
+                                                 Presence presence) {
+  const Json::Value* value = Find(name, presence == Presence::kRequired);
   if (value == nullptr) {
     return std::nullopt;
   }
--- a/filbertwick/json/object_reader.h
+++ b/filbertwick/json/object_reader.h
@@ -25,6 +25,9 @@
 /// Most bytes of a name in a file; names are letters, digits, `.`, `_`, `-`.
 inline constexpr size_t kMaxNameBytes = 64;
 
+/// Whether a field may be left out.
+enum class Presence { kRequired, kOptional };
+
 /// One word that stands for a value of an enumeration.
 template <typename Enum>
 struct Choice {
@@ -118,8 +121,9 @@
                                    Range size,
                                    Range bytes);
 
-  /// A required object below this one; nothing when it is missing or wrong.
-  std::optional<ObjectReader> Object(std::string_view name);
+  /// An object below this one; nothing when it is missing or wrong.
+  std::optional<ObjectReader> Object(std::string_view name,
+                                     Presence presence = Presence::kRequired);
 
   /// Reports every field that no getter asked for.
   void Finish();
