Carry messages between instances over UDP and TCP

Instances need an authenticated way to exchange probes and work. Probes go as datagrams, all else over one standing connection a pair and direction. Every frame carries sender, incarnation, receiver and sequence under a keyed BLAKE2b MAC; datagrams name the receiver's incarnation and connections a challenge of the acceptor, so frames recorded before a restart or on another connection are refused. Wrong, replayed, stale and misdirected frames are counted by kind.

--- /dev/null
+++ b/filbertwick/net/peer_connection.cc
@@ -0,0 +1,124 @@
+#include "filbertwick/net/peer_connection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+#include <utility>
+
+#include "filbertwick/net/frame.h"
+#include "filbertwick/wire/codec.h"
+
+namespace filbertwick::net {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr size_t kChunkBytes = 64 * 1024;
+/// Largest frame before the hello was checked.
+constexpr size_t kMaxHelloBytes = 1024;
+/// Largest frame after it: a message with its header.
+constexpr size_t kMaxFrameBytes = wire::kMaxMessageBytes + kMaxHelloBytes;
+
+uint32_t ReadLength(std::string_view data) {
+  return boost::endian::load_big_u32(
+      reinterpret_cast<const unsigned char*>(data.data()));
+}
+
+}  // namespace
+
+std::shared_ptr<PeerConnection> PeerConnection::Create(
+    asio::ip::tcp::socket socket,
+    std::string challenge,
+    FrameHook frame,
+    ClosedHook closed) {
+  return std::shared_ptr<PeerConnection>(
+      new PeerConnection(std::move(socket), std::move(challenge),
+                         std::move(frame), std::move(closed)));
+}
+
+PeerConnection::PeerConnection(asio::ip::tcp::socket socket,
+                               std::string challenge,
+                               FrameHook frame,
+                               ClosedHook closed)
+    : socket_(std::move(socket)),
+      timer_(socket_.get_executor()),
+      challenge_(std::move(challenge)),
+      frame_(std::move(frame)),
+      closed_(std::move(closed)),
+      chunk_(kChunkBytes) {}
+
+void PeerConnection::Start(Duration timeout) {
+  error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  timer_.expires_after(timeout);
+  timer_.async_wait([self = shared_from_this()](error_code ec) {
+    if (!ec && self->open_ && self->peer_.name.empty()) {
+      self->Fail();
+    }
+  });
+  asio::async_write(socket_, asio::buffer(challenge_),
+                    [self = shared_from_this()](error_code ec, size_t) {
+                      if (ec && self->open_) {
+                        self->Fail();
+                      }
+                    });
+  Read();
+}
+
+void PeerConnection::Close() {
+  open_ = false;
+  error_code ignored;
+  socket_.close(ignored);
+  timer_.cancel();
+}
+
+void PeerConnection::SetPeer(wire::Sender peer) {
+  peer_ = std::move(peer);
+  timer_.cancel();
+}
+
+void PeerConnection::Read() {
+  socket_.async_read_some(asio::buffer(chunk_),
+                          [self = shared_from_this()](error_code ec, size_t n) {
+                            if (!self->open_) {
+                              return;
+                            }
+                            if (ec) {
+                              self->Fail();
+                              return;
+                            }
+                            self->unread_.append(self->chunk_.data(), n);
+                            const bool keep = self->TakeFrames();
+                            if (!self->open_) {
+                              return;
+                            }
+                            keep ? self->Read() : self->Fail();
+                          });
+}
+
+bool PeerConnection::TakeFrames() {
+  std::string_view rest = unread_;
+  while (rest.size() >= kLengthBytes) {
+    const size_t length = ReadLength(rest);
+    if (length > (peer_.name.empty() ? kMaxHelloBytes : kMaxFrameBytes)) {
+      return false;
+    }
+    if (rest.size() < kLengthBytes + length) {
+      break;
+    }
+    if (!frame_(*this, rest.substr(kLengthBytes, length)) || !open_) {
+      return false;
+    }
+    rest.remove_prefix(kLengthBytes + length);
+  }
+  unread_.erase(0, unread_.size() - rest.size());
+  return true;
+}
+
+void PeerConnection::Fail() {
+  Close();
+  closed_(*this);
+}
+
+}  // namespace filbertwick::net
--- /dev/null
+++ b/filbertwick/net/peer_transport.cc
@@ -0,0 +1,494 @@
+#include "filbertwick/net/peer_transport.h"
+
+#include <sodium.h>
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <set>
+#include <utility>
+#include <variant>
+
+#include "filbertwick/net/frame.h"
+#include "filbertwick/net/peer_connection.h"
+#include "filbertwick/net/peer_counters.h"
+#include "filbertwick/net/peer_link.h"
+#include "filbertwick/net/replay_guard.h"
+#include "filbertwick/wire/codec.h"
+
+namespace filbertwick::net {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+using boost::system::error_code;
+
+constexpr int kSocketBufferBytes = 4 * 1024 * 1024;
+constexpr size_t kMaxReceivedDatagram = 64 * 1024;
+/// Pause after a failed accept.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+
+bool GoesAsDatagram(const wire::Message& message) {
+  return std::holds_alternative<wire::Probe>(message) ||
+         std::holds_alternative<wire::ProbeReply>(message);
+}
+
+std::string DrawChallenge() {
+  std::string challenge(kChallengeBytes, '\0');
+  randombytes_buf(challenge.data(), challenge.size());
+  return challenge;
+}
+
+absl::Status BindError(std::string_view what, const error_code& ec) {
+  return absl::UnavailableError("can't listen for " + std::string(what) + ": " +
+                                ec.message());
+}
+
+}  // namespace
+
+/// State of the transport; connections and links refer to it.
+class PeerTransport::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& context,
+       const PeerTransportSettings& settings,
+       const FrameCodec& codec,
+       Counters& counters,
+       PeerLookup lookup,
+       ReceiveHook receive)
+      : context_(context),
+        settings_(settings),
+        codec_(codec),
+        counters_(counters),
+        lookup_(std::move(lookup)),
+        receive_(std::move(receive)),
+        udp_(context),
+        acceptor_(context),
+        accept_timer_(context) {}
+
+  absl::Status Listen() {
+    error_code ec;
+    const auto host = asio::ip::make_address(settings_.host, ec);
+    if (ec) {
+      return absl::InvalidArgumentError("not an IP number: " + settings_.host);
+    }
+    const udp::endpoint udp_endpoint(host, settings_.udp_port);
+    udp_.open(udp_endpoint.protocol(), ec);
+    udp_.bind(udp_endpoint, ec);
+    if (ec) {
+      return BindError("datagrams", ec);
+    }
+    const tcp::endpoint tcp_endpoint(host, settings_.tcp_port);
+    acceptor_.open(tcp_endpoint.protocol(), ec);
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+    acceptor_.bind(tcp_endpoint, ec);
+    if (!ec) {
+      acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec) {
+      return BindError("connections", ec);
+    }
+    // A smaller buffer than asked for only costs datagrams.
+    udp_.set_option(asio::socket_base::receive_buffer_size(kSocketBufferBytes),
+                    ec);
+    udp_.non_blocking(true, ec);
+    address_ = {settings_.host, udp_.local_endpoint().port(),
+                acceptor_.local_endpoint().port(), settings_.http_port};
+    return absl::OkStatus();
+  }
+
+  void Start() {
+    ReceiveDatagram();
+    Accept();
+  }
+
+  void Stop() {
+    stopped_ = true;
+    error_code ignored;
+    udp_.close(ignored);
+    acceptor_.close(ignored);
+    accept_timer_.cancel();
+    for (const auto& connection : connections_) {
+      connection->Close();
+    }
+    connections_.clear();
+    for (auto& [name, peer] : peers_) {
+      CloseLink(peer);
+    }
+  }
+
+  void Send(const InstanceName& to, const wire::Message& message) {
+    Peer& peer = peers_[to];
+    RefreshTarget(to, peer);
+    if (!peer.known) {
+      counters_.no_address.Add();
+      return;
+    }
+    std::string body = wire::EncodeMessage(message);
+    if (GoesAsDatagram(message) && SendDatagram(to, peer, body)) {
+      return;
+    }
+    SendOverLink(to, peer, std::move(body));
+  }
+
+  const wire::InstanceAddress& address() const { return address_; }
+
+ private:
+  /// Where a peer is, and the way to it.
+  struct Peer {
+    bool known = false;
+    wire::InstanceAddress address;
+    wire::Incarnation incarnation = 0;
+    /// What the lookup said last.
+    wire::Incarnation looked_up = 0;
+    uint64_t datagram_sequence = 0;
+    uint64_t stream_sequence = 0;
+    std::shared_ptr<PeerLink> link;
+  };
+
+  /// Follows the lookup when it names another incarnation than before, unless
+  /// a later one was heard already.
+  void RefreshTarget(const InstanceName& name, Peer& peer) {
+    const wire::InstanceInfo* info = lookup_(name);
+    if (info == nullptr || info->incarnation == peer.looked_up) {
+      return;
+    }
+    peer.looked_up = info->incarnation;
+    if (!guard_.IsRetired({name, info->incarnation})) {
+      SetTarget(peer, info->address, info->incarnation);
+    }
+  }
+
+  void SetTarget(Peer& peer,
+                 const wire::InstanceAddress& address,
+                 wire::Incarnation incarnation) {
+    if (peer.known && peer.address == address &&
+        peer.incarnation == incarnation) {
+      return;
+    }
+    CloseLink(peer);
+    peer.known = true;
+    peer.address = address;
+    peer.incarnation = incarnation;
+  }
+
+  static void CloseLink(Peer& peer) {
+    if (peer.link) {
+      peer.link->Close();
+      peer.link.reset();
+    }
+  }
+
+  FrameHeader MakeHeader(FrameKind kind,
+                         const InstanceName& to,
+                         wire::Incarnation to_incarnation,
+                         uint64_t sequence) const {
+    return {kind, settings_.self, to, to_incarnation, sequence, {}};
+  }
+
+  bool SendDatagram(const InstanceName& to, Peer& peer, std::string_view body) {
+    FrameHeader header = MakeHeader(FrameKind::kMessage, to, peer.incarnation,
+                                    peer.datagram_sequence + 1);
+    header.address = address_;
+    const std::string frame = codec_.SealDatagram(header, body);
+    if (frame.size() > kMaxDatagramBytes) {
+      return false;
+    }
+    ++peer.datagram_sequence;
+    SendFrame(peer.address, frame);
+    return true;
+  }
+
+  void SendFrame(const wire::InstanceAddress& to, std::string_view frame) {
+    error_code ec;
+    const auto host = asio::ip::make_address(to.host, ec);
+    if (!ec) {
+      udp_.send_to(asio::buffer(frame.data(), frame.size()),
+                   udp::endpoint(host, to.udp_port), 0, ec);
+    }
+    if (ec) {
+      counters_.unreachable.Add();
+      return;
+    }
+    counters_.sent.Add();
+    counters_.sent_bytes.Add(frame.size());
+  }
+
+  void SendOverLink(const InstanceName& to, Peer& peer, std::string body) {
+    if (!peer.link && !OpenLink(to, peer)) {
+      counters_.unreachable.Add();
+      return;
+    }
+    peer.link->Send(std::move(body));
+  }
+
+  bool OpenLink(const InstanceName& to, Peer& peer) {
+    error_code ec;
+    const auto host = asio::ip::make_address(peer.address.host, ec);
+    if (ec) {
+      return false;
+    }
+    PeerLinkSettings settings;
+    settings.endpoint = {host, peer.address.tcp_port};
+    settings.max_queue_bytes = settings_.max_queue_bytes;
+    settings.seed = settings_.seed + peers_.size();
+    peer.link = PeerLink::Create(
+        context_, settings,
+        [this, to, &peer](std::string_view body, std::string_view challenge) {
+          return SealForLink(to, peer, body, challenge);
+        },
+        counters_);
+    return true;
+  }
+
+  /// Peers are never erased and links are closed before this goes, so that
+  /// `peer` outlives every call.
+  std::string SealForLink(const InstanceName& to,
+                          Peer& peer,
+                          std::string_view body,
+                          std::string_view challenge) {
+    const FrameKind kind =
+        body.empty() ? FrameKind::kHello : FrameKind::kMessage;
+    FrameHeader header =
+        MakeHeader(kind, to, peer.incarnation, ++peer.stream_sequence);
+    if (kind == FrameKind::kHello) {
+      header.address = address_;
+    }
+    return codec_.SealForStream(header, body, challenge);
+  }
+
+  void ReceiveDatagram() {
+    udp_.async_receive_from(
+        asio::buffer(datagram_), datagram_from_,
+        [self = shared_from_this()](error_code ec, size_t n) {
+          if (self->stopped_) {
+            return;
+          }
+          if (!ec) {
+            self->HandleDatagram({self->datagram_.data(), n});
+          }
+          self->ReceiveDatagram();
+        });
+  }
+
+  void HandleDatagram(std::string_view bytes) {
+    const auto opened = OpenFrame(bytes, {});
+    if (!opened.ok()) {
+      return;
+    }
+    const FrameHeader& header = opened->header;
+    // A frame for another incarnation proves nothing; its sender is told.
+    if (header.to_incarnation != settings_.self.incarnation) {
+      counters_.stale.Add();
+      if (header.kind == FrameKind::kMessage) {
+        SendHello(header);
+      }
+      return;
+    }
+    if (!Admit(header, guard_.CheckDatagram(header.from, header.sequence))) {
+      return;
+    }
+    // A hello in answer to a frame of ours names the present incarnation.
+    if (header.kind == FrameKind::kHello) {
+      SetTarget(peers_[header.from.name], header.address,
+                header.from.incarnation);
+      return;
+    }
+    Deliver(header, opened->body, bytes.size());
+  }
+
+  /// Tells the sender of a frame who and where this instance is.
+  void SendHello(const FrameHeader& about) {
+    if (guard_.IsRetired(about.from)) {
+      return;
+    }
+    Peer& peer = peers_[about.from.name];
+    FrameHeader header =
+        MakeHeader(FrameKind::kHello, about.from.name, about.from.incarnation,
+                   ++peer.datagram_sequence);
+    header.address = address_;
+    SendFrame(about.address, codec_.SealDatagram(header, {}));
+  }
+
+  /// Checks the MAC and the receiver; counts what is wrong.
+  absl::StatusOr<OpenedFrame> OpenFrame(std::string_view bytes,
+                                        std::string_view challenge) {
+    auto opened = codec_.Open(bytes, challenge);
+    if (!opened.ok()) {
+      const bool forged = absl::IsUnauthenticated(opened.status());
+      (forged ? counters_.bad_mac : counters_.damaged).Add();
+      return opened;
+    }
+    if (opened->header.to != settings_.self.name ||
+        opened->header.from.name == settings_.self.name) {
+      counters_.wrong_receiver.Add();
+      return absl::NotFoundError("the frame is for another instance");
+    }
+    return opened;
+  }
+
+  /// Counts what is not fresh; learns the address of a new incarnation.
+  bool Admit(const FrameHeader& header, Freshness freshness) {
+    switch (freshness) {
+      case Freshness::kReplayed:
+        counters_.replayed.Add();
+        return false;
+      case Freshness::kOldIncarnation:
+        counters_.stale.Add();
+        return false;
+      case Freshness::kNewIncarnation:
+        SetTarget(peers_[header.from.name], header.address,
+                  header.from.incarnation);
+        return true;
+      case Freshness::kFresh:
+        return true;
+    }
+    return false;
+  }
+
+  void Deliver(const FrameHeader& header, std::string_view body, size_t bytes) {
+    auto message = wire::DecodeMessage(body);
+    if (!message.ok()) {
+      counters_.damaged.Add();
+      return;
+    }
+    counters_.received.Add();
+    counters_.received_bytes.Add(bytes);
+    receive_(header.from, *std::move(message));
+  }
+
+  void Accept() {
+    acceptor_.async_accept([self = shared_from_this()](error_code ec,
+                                                       tcp::socket socket) {
+      if (self->stopped_) {
+        return;
+      }
+      if (!ec && self->connections_.size() < self->settings_.max_connections) {
+        self->AddConnection(std::move(socket));
+      }
+      ec ? self->AcceptLater() : self->Accept();
+    });
+  }
+
+  /// Lets the system free descriptors first.
+  void AcceptLater() {
+    accept_timer_.expires_after(kAcceptPause);
+    accept_timer_.async_wait([self = shared_from_this()](error_code ec) {
+      if (!ec && !self->stopped_) {
+        self->Accept();
+      }
+    });
+  }
+
+  void AddConnection(tcp::socket socket) {
+    auto connection = PeerConnection::Create(
+        std::move(socket), DrawChallenge(),
+        [this](PeerConnection& from, std::string_view frame) {
+          return HandleFrame(from, frame);
+        },
+        [this](PeerConnection& from) {
+          connections_.erase(from.shared_from_this());
+        });
+    connections_.insert(connection);
+    connection->Start(settings_.hello_timeout);
+  }
+
+  bool HandleFrame(PeerConnection& connection, std::string_view frame) {
+    const auto opened = OpenFrame(frame, connection.challenge());
+    if (!opened.ok()) {
+      return false;
+    }
+    const FrameHeader& header = opened->header;
+    const bool first = connection.peer().name.empty();
+    const bool is_hello = header.kind == FrameKind::kHello;
+    if (first != is_hello || (!first && connection.peer() != header.from)) {
+      counters_.damaged.Add();
+      return false;
+    }
+    // The connector knows an older incarnation of this instance, or none.
+    if (header.to_incarnation != settings_.self.incarnation) {
+      counters_.stale.Add();
+      SendHello(header);
+      return false;
+    }
+    if (!Admit(header, guard_.CheckStream(header.from, header.sequence))) {
+      return false;
+    }
+    if (is_hello) {
+      ReplaceConnection(connection, header.from);
+      return true;
+    }
+    Deliver(header, opened->body, frame.size());
+    return true;
+  }
+
+  /// Keeps one connection a peer: the newest.
+  void ReplaceConnection(PeerConnection& connection,
+                         const wire::Sender& sender) {
+    std::erase_if(connections_, [&](const auto& other) {
+      const bool old =
+          other.get() != &connection && other->peer().name == sender.name;
+      if (old) {
+        other->Close();
+      }
+      return old;
+    });
+    connection.SetPeer(sender);
+  }
+
+  asio::io_context& context_;
+  const PeerTransportSettings settings_;
+  const FrameCodec codec_;
+  PeerCounters counters_;
+  PeerLookup lookup_;
+  ReceiveHook receive_;
+  udp::socket udp_;
+  tcp::acceptor acceptor_;
+  asio::steady_timer accept_timer_;
+  wire::InstanceAddress address_;
+  bool stopped_ = false;
+  std::array<char, kMaxReceivedDatagram> datagram_;
+  udp::endpoint datagram_from_;
+  ReplayGuard guard_;
+  std::map<InstanceName, Peer> peers_;
+  std::set<std::shared_ptr<PeerConnection>> connections_;
+};
+
+absl::StatusOr<std::unique_ptr<PeerTransport>> PeerTransport::Create(
+    asio::io_context& context,
+    const PeerTransportSettings& settings,
+    Counters& counters,
+    PeerLookup lookup,
+    ReceiveHook receive) {
+  const auto codec = FrameCodec::Create(settings.secret);
+  if (!codec.ok()) {
+    return codec.status();
+  }
+  auto impl = std::make_shared<Impl>(context, settings, *codec, counters,
+                                     std::move(lookup), std::move(receive));
+  if (const absl::Status status = impl->Listen(); !status.ok()) {
+    return status;
+  }
+  impl->Start();
+  return std::unique_ptr<PeerTransport>(new PeerTransport(std::move(impl)));
+}
+
+PeerTransport::PeerTransport(std::shared_ptr<Impl> impl)
+    : impl_(std::move(impl)) {}
+
+PeerTransport::~PeerTransport() {
+  impl_->Stop();
+}
+
+const wire::InstanceAddress& PeerTransport::address() const {
+  return impl_->address();
+}
+
+void PeerTransport::Send(const InstanceName& to, const wire::Message& message) {
+  impl_->Send(to, message);
+}
+
+}  // namespace filbertwick::net
--- /dev/null
+++ b/unit_tests/peer_transport_test.cc
@@ -0,0 +1,350 @@
+#include "filbertwick/net/peer_transport.h"
+
+#include <criterion/criterion.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <map>
+#include <random>
+#include <vector>
+
+#include "filbertwick/net/frame.h"
+#include "filbertwick/net/peer_link.h"
+#include "filbertwick/net/replay_guard.h"
+#include "filbertwick/wire/codec.h"
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+using filbertwick::Counters;
+using filbertwick::InstanceName;
+using filbertwick::net::FrameCodec;
+using filbertwick::net::FrameHeader;
+using filbertwick::net::FrameKind;
+using filbertwick::net::Freshness;
+using filbertwick::net::PeerTransport;
+using filbertwick::net::PeerTransportSettings;
+using filbertwick::net::ReplayGuard;
+using filbertwick::net::SequenceWindow;
+namespace wire = filbertwick::wire;
+
+constexpr std::string_view kSecret = "a secret";
+constexpr int kDamagedFrames = 5'000;
+/// A run that gets stuck ends here; none takes that long otherwise.
+constexpr std::chrono::seconds kStuck(20);
+
+/// Instances of one test, all on one io_context.
+struct Cluster {
+  /// One instance with what it received.
+  struct Node {
+    Counters counters;
+    std::unique_ptr<PeerTransport> transport;
+    wire::InstanceInfo info;
+    std::vector<wire::Message> received;
+    std::vector<wire::Sender> senders;
+
+    uint64_t Count(std::string_view name) { return counters.Get(name).value(); }
+  };
+
+  /// Starts an instance, or a new incarnation of one on the same ports.
+  Node& Start(const char* name, uint64_t incarnation) {
+    auto node = std::make_unique<Node>();
+    PeerTransportSettings settings;
+    settings.self = {InstanceName(name), incarnation};
+    settings.secret = kSecret;
+    if (const auto it = nodes.find(name); it != nodes.end()) {
+      settings.udp_port = it->second->info.address.udp_port;
+      settings.tcp_port = it->second->info.address.tcp_port;
+      it->second->transport.reset();
+      context.poll();
+    }
+    auto transport = PeerTransport::Create(
+        context, settings, node->counters,
+        [this](const InstanceName& peer) { return Find(peer); },
+        [n = node.get()](wire::Sender from, wire::Message message) {
+          n->senders.push_back(std::move(from));
+          n->received.push_back(std::move(message));
+        });
+    cr_assert(transport.ok(), "%s", transport.status().ToString().c_str());
+    node->transport = *std::move(transport);
+    node->info.name = InstanceName(name);
+    node->info.incarnation = incarnation;
+    node->info.address = node->transport->address();
+    auto& slot = nodes[name];
+    slot = std::move(node);
+    return *slot;
+  }
+
+  const wire::InstanceInfo* Find(const InstanceName& name) const {
+    const auto it = listed.find(name);
+    return it == listed.end() ? nullptr : &it->second;
+  }
+
+  void List(const Node& node) { listed[node.info.name] = node.info; }
+
+  template <typename Condition>
+  void RunUntil(Condition done) {
+    const auto end = std::chrono::steady_clock::now() + kStuck;
+    while (!done()) {
+      cr_assert(std::chrono::steady_clock::now() < end, "the run is stuck");
+      context.run_one_for(std::chrono::milliseconds(10));
+    }
+  }
+
+  asio::io_context context;
+  std::map<std::string, std::unique_ptr<Node>> nodes;
+  std::map<InstanceName, wire::InstanceInfo> listed;
+};
+
+wire::Message SampleProbe(int64_t sent) {
+  wire::Probe probe;
+  probe.sent = sent;
+  return probe;
+}
+
+wire::Message SampleForward(size_t bytes) {
+  wire::ForwardJob forward;
+  forward.spec.payloads = {std::string(bytes, 'x')};
+  return forward;
+}
+
+FrameHeader HeaderTo(const Cluster::Node& node, uint64_t sequence) {
+  FrameHeader header;
+  header.from = {InstanceName("stranger"), 77};
+  header.to = node.info.name;
+  header.to_incarnation = node.info.incarnation;
+  header.sequence = sequence;
+  return header;
+}
+
+/// Sends one raw datagram to an instance.
+void SendRaw(Cluster& cluster,
+             const Cluster::Node& node,
+             std::string_view bytes) {
+  udp::socket socket(cluster.context, udp::endpoint(udp::v4(), 0));
+  socket.send_to(asio::buffer(bytes.data(), bytes.size()),
+                 {asio::ip::make_address(node.info.address.host),
+                  node.info.address.udp_port});
+}
+
+/// Connects to an instance and reads its challenge.
+tcp::socket Connect(Cluster& cluster,
+                    const Cluster::Node& node,
+                    std::string& challenge) {
+  tcp::socket socket(cluster.context);
+  socket.connect({asio::ip::make_address(node.info.address.host),
+                  node.info.address.tcp_port});
+  challenge.assign(filbertwick::net::kChallengeBytes, '\0');
+  bool read = false;
+  asio::async_read(socket, asio::buffer(challenge),
+                   [&](boost::system::error_code, size_t) { read = true; });
+  cluster.RunUntil([&] { return read; });
+  return socket;
+}
+
+Test(replay_guard, the_window_takes_each_number_once) {
+  SequenceWindow window;
+  cr_assert_not(window.Accept(0));
+  cr_assert(window.Accept(5));
+  cr_assert_not(window.Accept(5));
+  cr_assert(window.Accept(3));
+  cr_assert_not(window.Accept(3));
+  cr_assert(window.Accept(100));
+  cr_assert_not(window.Accept(36));
+  cr_assert(window.Accept(37));
+  cr_assert(window.Accept(1'000'000));
+  cr_assert(window.Accept(999'999));
+  cr_assert_not(window.Accept(100));
+}
+
+Test(replay_guard, a_replaced_incarnation_stays_out) {
+  ReplayGuard guard;
+  const wire::Sender old{InstanceName("a"), 1};
+  const wire::Sender present{InstanceName("a"), 2};
+  cr_assert(guard.CheckStream(old, 9) == Freshness::kNewIncarnation);
+  cr_assert(guard.CheckStream(old, 9) == Freshness::kReplayed);
+  cr_assert(guard.CheckStream(old, 10) == Freshness::kFresh);
+  cr_assert(guard.CheckDatagram(present, 1) == Freshness::kNewIncarnation);
+  cr_assert(guard.CheckStream(old, 11) == Freshness::kOldIncarnation);
+  cr_assert(guard.IsRetired(old));
+  cr_assert_not(guard.IsRetired(present));
+}
+
+Test(frame, a_change_of_any_byte_is_refused) {
+  const auto codec = FrameCodec::Create(kSecret);
+  const auto other = FrameCodec::Create("another secret");
+  cr_assert(codec.ok() && other.ok());
+  FrameHeader header;
+  header.from = {InstanceName("a"), 1};
+  const std::string frame = codec->SealDatagram(header, "body");
+  const auto opened = codec->Open(frame, {});
+  cr_assert(opened.ok());
+  cr_assert(opened->body == "body");
+  cr_assert_not(other->Open(frame, {}).ok());
+  cr_assert_not(codec->Open(frame, "challenge").ok());
+  for (size_t n = 0; n < frame.size(); ++n) {
+    std::string damaged = frame;
+    damaged[n] = static_cast<char>(damaged[n] ^ 1);
+    cr_assert_not(codec->Open(damaged, {}).ok());
+    cr_assert_not(codec->Open(frame.substr(0, n), {}).ok());
+  }
+  cr_assert_not(FrameCodec::Create("").ok());
+}
+
+Test(peer_transport, carries_small_and_large_messages) {
+  Cluster cluster;
+  auto& a = cluster.Start("a", 1);
+  auto& b = cluster.Start("b", 2);
+  cluster.List(b);
+  a.transport->Send(b.info.name, SampleProbe(5));
+  a.transport->Send(b.info.name, SampleForward(3'000'000));
+  a.transport->Send(b.info.name, SampleForward(10));
+  cluster.RunUntil([&] { return b.received.size() == 3; });
+  cr_assert(b.senders[0] == (wire::Sender{InstanceName("a"), 1}));
+  cr_assert_eq(a.Count("peer_connects"), 1);
+  // A probe that fits no datagram takes the connection.
+  wire::Probe probe;
+  for (uint16_t n = 0; n < 64; ++n) {
+    probe.statement.overrides.push_back(
+        {n, {1, 2, InstanceName(std::string(40, 'n'))}});
+  }
+  a.transport->Send(b.info.name, probe);
+  cluster.RunUntil([&] { return b.received.size() == 4; });
+  // b finds a by the address that a's frames carry.
+  b.transport->Send(a.info.name, SampleProbe(6));
+  b.transport->Send(a.info.name, SampleForward(10));
+  cluster.RunUntil([&] { return a.received.size() == 2; });
+}
+
+Test(peer_transport, a_peer_without_address_is_counted) {
+  Cluster cluster;
+  auto& a = cluster.Start("a", 1);
+  a.transport->Send(InstanceName("nobody"), SampleProbe(1));
+  cr_assert_eq(a.Count("peer_dropped_no_address"), 1);
+}
+
+Test(peer_transport, drops_forged_replayed_and_misdirected_datagrams) {
+  Cluster cluster;
+  auto& node = cluster.Start("a", 1);
+  const auto codec = FrameCodec::Create(kSecret);
+  const std::string probe = wire::EncodeMessage(SampleProbe(1));
+  const std::string good = codec->SealDatagram(HeaderTo(node, 1), probe);
+  SendRaw(cluster, node, good);
+  SendRaw(cluster, node, good);
+  cluster.RunUntil([&] { return node.Count("peer_dropped_replayed") == 1; });
+  std::string forged = good;
+  forged.back() = static_cast<char>(forged.back() ^ 1);
+  SendRaw(cluster, node, forged);
+  cluster.RunUntil([&] { return node.Count("peer_dropped_bad_mac") == 1; });
+  FrameHeader header = HeaderTo(node, 2);
+  header.to = InstanceName("b");
+  SendRaw(cluster, node, codec->SealDatagram(header, probe));
+  cluster.RunUntil(
+      [&] { return node.Count("peer_dropped_wrong_receiver") == 1; });
+  // Recorded when an earlier incarnation of the receiver ran.
+  header = HeaderTo(node, 2);
+  header.to_incarnation = 99;
+  SendRaw(cluster, node, codec->SealDatagram(header, probe));
+  cluster.RunUntil([&] { return node.Count("peer_dropped_stale") == 1; });
+  SendRaw(cluster, node, codec->SealDatagram(HeaderTo(node, 3), "damage"));
+  cluster.RunUntil([&] { return node.Count("peer_dropped_damaged") == 1; });
+  cr_assert_eq(node.received.size(), 1);
+}
+
+Test(peer_transport, frames_of_one_connection_mean_nothing_on_another) {
+  Cluster cluster;
+  auto& node = cluster.Start("a", 1);
+  const auto codec = FrameCodec::Create(kSecret);
+  std::string challenge;
+  FrameHeader hello = HeaderTo(node, 1);
+  hello.kind = FrameKind::kHello;
+  tcp::socket first = Connect(cluster, node, challenge);
+  const std::string frame = codec->SealForStream(
+      HeaderTo(node, 2), wire::EncodeMessage(SampleForward(1)), challenge);
+  const std::string recorded =
+      codec->SealForStream(hello, {}, challenge) + frame;
+  asio::write(first, asio::buffer(recorded));
+  cluster.RunUntil([&] { return node.received.size() == 1; });
+  tcp::socket second = Connect(cluster, node, challenge);
+  asio::write(second, asio::buffer(recorded));
+  cluster.RunUntil([&] { return node.Count("peer_dropped_bad_mac") == 1; });
+  // The same connection again: a number that did not grow ends it.
+  asio::write(first, asio::buffer(frame));
+  cluster.RunUntil([&] { return node.Count("peer_dropped_replayed") == 1; });
+  cr_assert_eq(node.received.size(), 1);
+}
+
+Test(peer_transport, damaged_streams_never_crash) {
+  Cluster cluster;
+  auto& node = cluster.Start("a", 1);
+  const auto codec = FrameCodec::Create(kSecret);
+  std::mt19937_64 random(3);
+  const std::string message = wire::EncodeMessage(SampleForward(40));
+  for (int i = 0; i < kDamagedFrames; ++i) {
+    std::string body = message;
+    body[random() % body.size()] = static_cast<char>(random());
+    SendRaw(cluster, node,
+            codec->SealDatagram(HeaderTo(node, static_cast<uint64_t>(i) + 1),
+                                body.substr(0, random() % body.size())));
+    const auto taken = [&] {
+      return node.received.size() + node.Count("peer_dropped_damaged");
+    };
+    cluster.RunUntil([&] { return taken() > static_cast<size_t>(i); });
+  }
+  std::string challenge;
+  tcp::socket socket = Connect(cluster, node, challenge);
+  asio::write(socket, asio::buffer(std::string(100, '\xff')));
+  bool closed = false;
+  socket.async_wait(tcp::socket::wait_read,
+                    [&](boost::system::error_code) { closed = true; });
+  cluster.RunUntil([&] { return closed; });
+}
+
+Test(peer_transport, reconnects_to_a_new_incarnation) {
+  Cluster cluster;
+  auto& a = cluster.Start("a", 1);
+  auto& old = cluster.Start("b", 2);
+  cluster.List(old);
+  a.transport->Send(InstanceName("b"), SampleForward(1));
+  cluster.RunUntil([&] { return old.received.size() == 1; });
+  // The log still names the old incarnation; the new one tells of itself when
+  // it refuses a frame that was meant for the old one.
+  auto& present = cluster.Start("b", 3);
+  cluster.RunUntil([&] {
+    a.transport->Send(InstanceName("b"), SampleForward(1));
+    return !present.received.empty();
+  });
+  cr_assert_gt(a.Count("peer_dropped_unreachable"), 0);
+  cr_assert_gt(present.Count("peer_dropped_stale"), 0);
+  // The log comes to know it, and datagrams reach it as well.
+  cluster.List(present);
+  const size_t before = present.received.size();
+  a.transport->Send(InstanceName("b"), SampleProbe(1));
+  cluster.RunUntil([&] { return present.received.size() > before; });
+}
+
+Test(peer_transport, an_unreachable_peer_takes_bounded_memory) {
+  Cluster cluster;
+  auto& a = cluster.Start("a", 1);
+  Cluster::Node gone;
+  gone.info.name = InstanceName("gone");
+  gone.info.incarnation = 5;
+  gone.info.address = a.info.address;
+  gone.info.address.tcp_port = 1;
+  cluster.List(gone);
+  constexpr int kMessages = 40;
+  for (int i = 0; i < kMessages; ++i) {
+    a.transport->Send(gone.info.name, SampleForward(1'000'000));
+  }
+  const auto full = a.Count("peer_dropped_queue_full");
+  cr_assert_gt(full, 0);
+  cluster.RunUntil(
+      [&] { return a.Count("peer_dropped_unreachable") + full == kMessages; });
+}
+
+}  // namespace
