--- a/filbertwick/net/peer_transport.cc
+++ b/filbertwick/net/peer_transport.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <exception>
 #include <map>
 #include <set>
 #include <utility>
@@ -480,7 +481,11 @@
     : impl_(std::move(impl)) {}
 
 PeerTransport::~PeerTransport() {
-  impl_->Stop();
+  try {
+    impl_->Stop();
+  } catch (const std::exception&) {
+    // What could not be closed goes with the io_context.
+  }
 }
 
 const wire::InstanceAddress& PeerTransport::address() const {
--- /dev/null
+++ b/filbertwick/net/upstream_api.cc
@@ -0,0 +1,278 @@
+#include "filbertwick/net/upstream_api.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <optional>
+#include <utility>
+
+#include "filbertwick/http/client.h"
+#include "filbertwick/net/announcement.h"
+#include "filbertwick/net/json_response.h"
+#include "filbertwick/net/target.h"
+
+namespace filbertwick::net {
+namespace {
+
+using boost::system::error_code;
+
+/// Run time allowed to a task that names none.
+constexpr Duration kDefaultTaskTimeout = std::chrono::seconds(30);
+/// Time allowed to a request that stops a task.
+constexpr Duration kStopTimeout = std::chrono::seconds(5);
+/// Most bytes kept of an upstream's error text.
+constexpr size_t kMaxErrorBytes = 1024;
+constexpr std::string_view kNotRunHeader = "X-Not-Run";
+
+std::string TaskTarget(const wire::TaskKey& key, uint32_t attempt) {
+  return fmt::format("/v1/tasks/{}/{}?attempt={}",
+                     PercentEncode(key.job.value()), key.index, attempt);
+}
+
+/// What a failed call tells of the task.
+wire::TaskResult JudgeFailure(const http::CallResult& result) {
+  const bool sent = result.progress == http::CallProgress::kSent;
+  return {sent ? wire::TaskOutcome::kMayHaveRun : wire::TaskOutcome::kNotRun,
+          std::string(result.response.status().message())};
+}
+
+/// What the upstream's response tells of the task.
+wire::TaskResult JudgeResponse(http::Response response) {
+  using wire::TaskOutcome;
+  if (response.status == 200 && response.body.size() > wire::kMaxTaskBytes) {
+    return {TaskOutcome::kRan,
+            fmt::format("the result has more than {} bytes",
+                        wire::kMaxTaskBytes)};
+  }
+  if (response.status == 200) {
+    return {TaskOutcome::kSucceeded, std::move(response.body)};
+  }
+  const bool refused =
+      response.status == 503 && response.FindHeader(kNotRunHeader) == "1";
+  return {refused ? TaskOutcome::kNotRun : TaskOutcome::kRan,
+          fmt::format("status {}: {}", response.status,
+                      response.body.substr(0, kMaxErrorBytes))};
+}
+
+}  // namespace
+
+/// The upstream as announced last, and the calls to it.
+class UpstreamApi::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& context,
+       const UpstreamApiSettings& settings,
+       Counters& counters,
+       UpstreamApiHooks hooks)
+      : context_(context),
+        settings_(settings),
+        hooks_(std::move(hooks)),
+        pages_(counters, hooks_.ask_view, hooks_.ready),
+        timer_(context),
+        started_(counters.Get("upstream_tasks_started")),
+        ended_(counters.Get("upstream_tasks_ended")),
+        unsure_(counters.Get("upstream_tasks_may_have_run")),
+        silent_(counters.Get("upstream_silences")) {}
+
+  void Handle(const http::Request& request, const http::Responder& respond) {
+    const auto target = ParseTarget(request.target);
+    if (!target.ok()) {
+      respond(ErrorResponse(400, target.status().message()));
+      return;
+    }
+    if (pages_.Handle(*target, request.method, respond)) {
+      return;
+    }
+    if (target->segments != std::vector<std::string>{"v1", "upstream"}) {
+      respond(ErrorResponse(404, "there is no such page"));
+    } else if (request.method != "POST") {
+      respond(ErrorResponse(405, "only POST is allowed here"));
+    } else {
+      HandleAnnouncement(request, respond);
+    }
+  }
+
+  void Start(core::StartEffect effect) {
+    if (!client_) {
+      PostEnd(effect.key, effect.attempt,
+              {wire::TaskOutcome::kNotRun, "there is no upstream"});
+      return;
+    }
+    started_.Add();
+    ++running_;
+    http::Request request;
+    request.method = "POST";
+    request.target = TaskTarget(effect.key, effect.attempt);
+    request.headers = {{"Content-Type", "application/octet-stream"},
+                       {"X-Service", effect.service.value()}};
+    request.body = std::move(effect.payload);
+    const Duration timeout =
+        effect.timeout > Duration(0) ? effect.timeout : kDefaultTaskTimeout;
+    client_->Call(std::move(request), timeout,
+                  [weak = weak_from_this(), client = client_, key = effect.key,
+                   attempt = effect.attempt](http::CallResult result) {
+                    if (const auto self = weak.lock()) {
+                      self->OnCallEnded(client, key, attempt,
+                                        std::move(result));
+                    }
+                  });
+  }
+
+  void Stop(const core::StopExecutionEffect& effect) {
+    if (client_) {
+      SendStop(client_, effect.key, effect.attempt);
+    }
+  }
+
+  void Close() {
+    timer_.cancel();
+    client_.reset();
+  }
+
+  size_t running() const { return running_; }
+
+ private:
+  using ClientPtr = std::shared_ptr<http::Client>;
+
+  void HandleAnnouncement(const http::Request& request,
+                          const http::Responder& respond) {
+    const auto announcement = ParseAnnouncement(request.body);
+    if (!announcement.ok()) {
+      respond(ErrorResponse(400, announcement.status().message()));
+      return;
+    }
+    Adopt(*announcement);
+    WaitForSilence();
+    respond(JsonResponse(200, R"({"accepted":true})"));
+  }
+
+  void Adopt(const Announcement& announcement) {
+    if (present_ == announcement) {
+      return;
+    }
+    const bool moved = !present_ || present_->host != announcement.host ||
+                       present_->port != announcement.port;
+    if (moved) {
+      ReplaceClient(announcement);
+    }
+    present_ = announcement;
+    hooks_.post(core::UpstreamEvent{announcement.slots, announcement.leaving});
+  }
+
+  void ReplaceClient(const Announcement& announcement) {
+    http::ClientSettings settings;
+    settings.host = announcement.host;
+    settings.port = announcement.port;
+    settings.max_connections = settings_.max_connections;
+    settings.max_body_bytes = 2 * wire::kMaxTaskBytes;
+    client_ = http::Client::Create(context_, settings);
+  }
+
+  void WaitForSilence() {
+    timer_.expires_after(settings_.announce_timeout);
+    timer_.async_wait([weak = weak_from_this()](error_code ec) {
+      const auto self = weak.lock();
+      if (!ec && self) {
+        self->OnSilence();
+      }
+    });
+  }
+
+  /// The client stays: running calls end by themselves.
+  void OnSilence() {
+    silent_.Add();
+    present_.reset();
+    hooks_.post(core::UpstreamEvent{0, false});
+  }
+
+  void OnCallEnded(const ClientPtr& client,
+                   const wire::TaskKey& key,
+                   uint32_t attempt,
+                   http::CallResult result) {
+    --running_;
+    ended_.Add();
+    const bool timed_out =
+        absl::IsDeadlineExceeded(result.response.status()) &&
+        result.progress == http::CallProgress::kSent;
+    wire::TaskResult judged =
+        result.response.ok() ? JudgeResponse(*std::move(result.response))
+                             : JudgeFailure(result);
+    if (judged.outcome == wire::TaskOutcome::kMayHaveRun) {
+      unsure_.Add();
+    }
+    if (timed_out) {
+      SendStop(client, key, attempt);
+    }
+    PostEnd(key, attempt, std::move(judged));
+    // The client may have been replaced; it must not go inside its own hook.
+    boost::asio::post(context_, [client] {});
+  }
+
+  static void SendStop(const ClientPtr& client,
+                       const wire::TaskKey& key,
+                       uint32_t attempt) {
+    http::Request request;
+    request.method = "DELETE";
+    request.target = TaskTarget(key, attempt);
+    client->Call(std::move(request), kStopTimeout,
+                 [client](const http::CallResult&) {});
+  }
+
+  void PostEnd(const wire::TaskKey& key,
+               uint32_t attempt,
+               wire::TaskResult result) {
+    hooks_.post(core::ExecutionEvent{key, attempt, std::move(result)});
+  }
+
+  boost::asio::io_context& context_;
+  const UpstreamApiSettings settings_;
+  const UpstreamApiHooks hooks_;
+  const StatusPages pages_;
+  boost::asio::steady_timer timer_;
+  Counter& started_;
+  Counter& ended_;
+  Counter& unsure_;
+  Counter& silent_;
+  /// What was announced last; nothing while the upstream is silent.
+  std::optional<Announcement> present_;
+  ClientPtr client_;
+  size_t running_ = 0;
+};
+
+std::unique_ptr<UpstreamApi> UpstreamApi::Create(
+    boost::asio::io_context& context,
+    const UpstreamApiSettings& settings,
+    Counters& counters,
+    UpstreamApiHooks hooks) {
+  return std::unique_ptr<UpstreamApi>(new UpstreamApi(
+      std::make_shared<Impl>(context, settings, counters, std::move(hooks))));
+}
+
+UpstreamApi::UpstreamApi(std::shared_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+UpstreamApi::~UpstreamApi() {
+  try {
+    impl_->Close();
+  } catch (const std::exception&) {
+    // The timer goes with the io_context.
+  }
+}
+
+void UpstreamApi::Handle(http::Request request, http::Responder respond) {
+  impl_->Handle(request, respond);
+}
+
+void UpstreamApi::Start(core::StartEffect effect) {
+  impl_->Start(std::move(effect));
+}
+
+void UpstreamApi::Stop(const core::StopExecutionEffect& effect) {
+  impl_->Stop(effect);
+}
+
+size_t UpstreamApi::running() const {
+  return impl_->running();
+}
+
+}  // namespace filbertwick::net
