--- a/filbertwick/net/change_codec.cc
+++ b/filbertwick/net/change_codec.cc
@@ -4,7 +4,7 @@
 
 #include "filbertwick/json/document.h"
 #include "filbertwick/json/object_reader.h"
-#include "filbertwick/json/writer.h"
+#include "filbertwick/json/text_writer.h"
 #include "filbertwick/net/json_response.h"
 
 namespace filbertwick::net {
@@ -76,7 +76,7 @@
 }
 
 http::Response FormatChangeAnswer(const core::OperatorAnswerEffect& effect) {
-  json::Writer writer;
+  json::TextWriter writer;
   writer.BeginObject()
       .Member("accepted", effect.accepted)
       .Member("offset", effect.offset);
@@ -88,7 +88,7 @@
 }
 
 http::Response FormatAudit(const std::vector<core::AuditEffect>& lines) {
-  json::Writer writer;
+  json::TextWriter writer;
   writer.BeginObject().Key("lines").BeginArray();
   for (const core::AuditEffect& line : lines) {
     writer.BeginObject()
--- a/filbertwick/net/job_codec.cc
+++ b/filbertwick/net/job_codec.cc
@@ -10,7 +10,7 @@
 
 #include "filbertwick/json/document.h"
 #include "filbertwick/json/object_reader.h"
-#include "filbertwick/json/writer.h"
+#include "filbertwick/json/text_writer.h"
 #include "filbertwick/net/json_response.h"
 
 namespace filbertwick::net {
@@ -88,7 +88,7 @@
   }
 }
 
-void WriteTask(const wire::TaskResult& task, json::Writer& writer) {
+void WriteTask(const wire::TaskResult& task, json::TextWriter& writer) {
   const bool succeeded = task.outcome == wire::TaskOutcome::kSucceeded;
   writer.BeginObject().Member("outcome", wire::ToString(task.outcome));
   if (!IsUtf8(task.body)) {
@@ -149,7 +149,7 @@
 }
 
 http::Response FormatAnswer(const wire::JobAnswer& answer) {
-  json::Writer writer;
+  json::TextWriter writer;
   writer.BeginObject().Member("id", answer.id).Member(
       "outcome", wire::ToString(answer.outcome));
   if (answer.reason != wire::Reason::kNone) {
@@ -178,7 +178,7 @@
       effect.explanation.empty()) {
     return FormatAnswer(effect.answer);
   }
-  json::Writer writer;
+  json::TextWriter writer;
   writer.BeginObject().Member("id", effect.answer.id);
   writer.Key("explanation").BeginArray();
   for (const std::string& line : effect.explanation) {
@@ -192,7 +192,7 @@
                              std::string_view reason,
                              std::string_view why,
                              bool not_run) {
-  json::Writer writer;
+  json::TextWriter writer;
   writer.BeginObject()
       .Member("outcome", wire::ToString(wire::JobOutcome::kRefused))
       .Member("reason", reason)
--- a/filbertwick/net/json_response.cc
+++ b/filbertwick/net/json_response.cc
@@ -3,7 +3,7 @@
 #include <chrono>
 #include <utility>
 
-#include "filbertwick/json/writer.h"
+#include "filbertwick/json/text_writer.h"
 
 namespace filbertwick::net {
 
@@ -16,7 +16,7 @@
 }
 
 http::Response ErrorResponse(int status, std::string_view text) {
-  json::Writer writer;
+  json::TextWriter writer;
   writer.BeginObject().Member("error", text).EndObject();
   return JsonResponse(status, writer.Take());
 }
--- a/filbertwick/net/status_pages.cc
+++ b/filbertwick/net/status_pages.cc
@@ -4,7 +4,7 @@
 #include <string_view>
 #include <utility>
 
-#include "filbertwick/json/writer.h"
+#include "filbertwick/json/text_writer.h"
 #include "filbertwick/net/json_response.h"
 
 namespace filbertwick::net {
@@ -21,7 +21,7 @@
   return role == wire::Role::kEntry ? "entry" : "sidecar";
 }
 
-void WriteInfo(const wire::InstanceInfo& info, json::Writer& writer) {
+void WriteInfo(const wire::InstanceInfo& info, json::TextWriter& writer) {
   writer.Member("name", info.name)
       .Member("incarnation", std::to_string(info.incarnation))
       .Member("role", ToString(info.role))
@@ -34,7 +34,7 @@
       .Member("tcp_port", info.address.tcp_port);
 }
 
-void WritePeer(const core::PeerStatus& peer, json::Writer& writer) {
+void WritePeer(const core::PeerStatus& peer, json::TextWriter& writer) {
   writer.BeginObject();
   WriteInfo(peer.info, writer);
   writer.Member("offset", peer.offset)
@@ -47,7 +47,7 @@
       .EndObject();
 }
 
-void WriteZone(const core::ZoneStatus& zone, json::Writer& writer) {
+void WriteZone(const core::ZoneStatus& zone, json::TextWriter& writer) {
   writer.BeginObject()
       .Member("name", zone.zone)
       .Member("region", zone.region)
@@ -66,7 +66,7 @@
 }
 
 std::string FormatBundle(const InstanceView& view) {
-  json::Writer writer;
+  json::TextWriter writer;
   writer.BeginObject()
       .Member("version", view.status.bundle_version)
       .Member("offset", view.status.offset)
@@ -119,7 +119,7 @@
 }
 
 std::string FormatStatus(const core::CoreStatus& status) {
-  json::Writer writer;
+  json::TextWriter writer;
   writer.BeginObject();
   WriteInfo(status.info, writer);
   writer.Member("offset", status.offset)
--- a/filbertwick/net/upstream_api.cc
+++ b/filbertwick/net/upstream_api.cc
@@ -2,9 +2,9 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <exception>
 #include <optional>
 #include <utility>
 
@@ -205,18 +205,26 @@
       SendStop(client, key, attempt);
     }
     PostEnd(key, attempt, std::move(judged));
-    // The client may have been replaced; it must not go inside its own hook.
+    ReleaseLater(client);
+  }
+
+  /// A replaced client must not go inside its own hook.
+  void ReleaseLater(const ClientPtr& client) {
     boost::asio::post(context_, [client] {});
   }
 
-  static void SendStop(const ClientPtr& client,
+  void SendStop(const ClientPtr& client,
                        const wire::TaskKey& key,
                        uint32_t attempt) {
     http::Request request;
     request.method = "DELETE";
     request.target = TaskTarget(key, attempt);
     client->Call(std::move(request), kStopTimeout,
-                 [client](const http::CallResult&) {});
+                 [weak = weak_from_this(), client](const http::CallResult&) {
+                   if (const auto self = weak.lock()) {
+                     self->ReleaseLater(client);
+                   }
+                 });
   }
 
   void PostEnd(const wire::TaskKey& key,
