--- a/filbertwick/net/caller_api.cc
+++ b/filbertwick/net/caller_api.cc
@@ -59,7 +59,7 @@
     requests_.Add();
     const auto target = ParseTarget(request.target);
     if (!target.ok()) {
-      Refuse(respond, ErrorResponse(400, target.status().message()));
+      Refuse(respond, ErrorResponse(400, MessageOf(target.status())));
       return;
     }
     const Call call{request, *target, respond};
@@ -126,8 +126,8 @@
     const auto id = ParseJobId(segments[2]);
     if (!id.ok()) {
       // No submission under such an id was ever taken.
-      Refuse(call.respond, FormatRefusal(400, "invalid_job",
-                                         id.status().message(), true));
+      Refuse(call.respond,
+             FormatRefusal(400, "invalid_job", MessageOf(id.status()), true));
       return true;
     }
     const std::string& method = call.request.method;
@@ -151,9 +151,8 @@
     auto spec = ParseJob(id, call.request.body);
     if (!spec.ok()) {
       const bool too_large = absl::IsResourceExhausted(spec.status());
-      Refuse(call.respond,
-             FormatRefusal(too_large ? 413 : 400, "invalid_job",
-                           spec.status().message(), false));
+      Refuse(call.respond, FormatRefusal(too_large ? 413 : 400, "invalid_job",
+                                         MessageOf(spec.status()), false));
       return;
     }
     OfferToCore(call, {call.respond, false},
@@ -183,7 +182,7 @@
     }
     auto record = ParseChange(call.request.body, WallTime::Now());
     if (!record.ok()) {
-      Refuse(call.respond, ErrorResponse(400, record.status().message()));
+      Refuse(call.respond, ErrorResponse(400, MessageOf(record.status())));
       return true;
     }
     OfferToCore(call, {call.respond, false},
--- a/filbertwick/net/job_codec.cc
+++ b/filbertwick/net/job_codec.cc
@@ -60,9 +60,8 @@
     sum += payload.size();
   }
   if (sum > wire::kMaxJobBytes) {
-    return absl::ResourceExhaustedError(
-        fmt::format("the payloads have more than {} bytes in all",
-                    wire::kMaxJobBytes));
+    return absl::ResourceExhaustedError(fmt::format(
+        "the payloads have more than {} bytes in all", wire::kMaxJobBytes));
   }
   return absl::OkStatus();
 }
@@ -150,8 +149,9 @@
 
 http::Response FormatAnswer(const wire::JobAnswer& answer) {
   json::TextWriter writer;
-  writer.BeginObject().Member("id", answer.id).Member(
-      "outcome", wire::ToString(answer.outcome));
+  writer.BeginObject()
+      .Member("id", answer.id)
+      .Member("outcome", wire::ToString(answer.outcome));
   if (answer.reason != wire::Reason::kNone) {
     writer.Member("reason", wire::ToString(answer.reason));
   }
--- a/filbertwick/net/json_response.cc
+++ b/filbertwick/net/json_response.cc
@@ -21,6 +21,10 @@
   return JsonResponse(status, writer.Take());
 }
 
+std::string MessageOf(const absl::Status& status) {
+  return std::string(status.message());
+}
+
 void AddRetryAfter(Duration wait, http::Response& response) {
   const auto seconds = std::chrono::ceil<std::chrono::seconds>(wait);
   response.headers.push_back({"Retry-After", std::to_string(seconds.count())});
--- a/filbertwick/net/json_response.h
+++ b/filbertwick/net/json_response.h
@@ -18,6 +18,9 @@
 /// A response `{"error": text}`.
 http::Response ErrorResponse(int status, std::string_view text);
 
+/// The text of a status.
+std::string MessageOf(const absl::Status& status);
+
 /// Adds Retry-After, in whole seconds, rounded up.
 void AddRetryAfter(Duration wait, http::Response& response);
 
--- a/filbertwick/net/status_pages.cc
+++ b/filbertwick/net/status_pages.cc
@@ -91,10 +91,9 @@
   const bool versioned = segments.size() == 2 && segments[0] == "v1";
   const bool status = versioned && segments[1] == "status";
   const bool bundle = versioned && segments[1] == "bundle";
-  const bool plain =
-      segments.size() == 1 && (segments[0] == "metrics" ||
-                               segments[0] == "healthz" ||
-                               segments[0] == "readyz");
+  const bool plain = segments.size() == 1 &&
+                     (segments[0] == "metrics" || segments[0] == "healthz" ||
+                      segments[0] == "readyz");
   if (!status && !bundle && !plain) {
     return false;
   }
--- a/filbertwick/net/upstream_api.cc
+++ b/filbertwick/net/upstream_api.cc
@@ -35,16 +35,15 @@
 wire::TaskResult JudgeFailure(const http::CallResult& result) {
   const bool sent = result.progress == http::CallProgress::kSent;
   return {sent ? wire::TaskOutcome::kMayHaveRun : wire::TaskOutcome::kNotRun,
-          std::string(result.response.status().message())};
+          MessageOf(result.response.status())};
 }
 
 /// What the upstream's response tells of the task.
 wire::TaskResult JudgeResponse(http::Response response) {
   using wire::TaskOutcome;
   if (response.status == 200 && response.body.size() > wire::kMaxTaskBytes) {
-    return {TaskOutcome::kRan,
-            fmt::format("the result has more than {} bytes",
-                        wire::kMaxTaskBytes)};
+    return {TaskOutcome::kRan, fmt::format("the result has more than {} bytes",
+                                           wire::kMaxTaskBytes)};
   }
   if (response.status == 200) {
     return {TaskOutcome::kSucceeded, std::move(response.body)};
@@ -78,7 +77,7 @@
   void Handle(const http::Request& request, const http::Responder& respond) {
     const auto target = ParseTarget(request.target);
     if (!target.ok()) {
-      respond(ErrorResponse(400, target.status().message()));
+      respond(ErrorResponse(400, MessageOf(target.status())));
       return;
     }
     if (pages_.Handle(*target, request.method, respond)) {
@@ -139,7 +138,7 @@
                           const http::Responder& respond) {
     const auto announcement = ParseAnnouncement(request.body);
     if (!announcement.ok()) {
-      respond(ErrorResponse(400, announcement.status().message()));
+      respond(ErrorResponse(400, MessageOf(announcement.status())));
       return;
     }
     Adopt(*announcement);
@@ -192,12 +191,11 @@
                    http::CallResult result) {
     --running_;
     ended_.Add();
-    const bool timed_out =
-        absl::IsDeadlineExceeded(result.response.status()) &&
-        result.progress == http::CallProgress::kSent;
-    wire::TaskResult judged =
-        result.response.ok() ? JudgeResponse(*std::move(result.response))
-                             : JudgeFailure(result);
+    const bool timed_out = absl::IsDeadlineExceeded(result.response.status()) &&
+                           result.progress == http::CallProgress::kSent;
+    wire::TaskResult judged = result.response.ok()
+                                  ? JudgeResponse(*std::move(result.response))
+                                  : JudgeFailure(result);
     if (judged.outcome == wire::TaskOutcome::kMayHaveRun) {
       unsure_.Add();
     }
@@ -214,8 +212,8 @@
   }
 
   void SendStop(const ClientPtr& client,
-                       const wire::TaskKey& key,
-                       uint32_t attempt) {
+                const wire::TaskKey& key,
+                uint32_t attempt) {
     http::Request request;
     request.method = "DELETE";
     request.target = TaskTarget(key, attempt);
