--- a/filbertwick/net/caller_api.cc
+++ b/filbertwick/net/caller_api.cc
@@ -268,7 +268,8 @@
 
 CallerApi::~CallerApi() = default;
 
-void CallerApi::Handle(http::Request request, http::Responder respond) {
+void CallerApi::Handle(const http::Request& request,
+                       const http::Responder& respond) {
   impl_->Handle(request, respond);
 }
 
--- a/filbertwick/net/caller_api.h
+++ b/filbertwick/net/caller_api.h
@@ -43,7 +43,7 @@
   ~CallerApi();
 
   /// Handles one request; the response may be given later.
-  void Handle(http::Request request, http::Responder respond);
+  void Handle(const http::Request& request, const http::Responder& respond);
   /// The connection of a request went before its response.
   void OnGone(uint64_t request_number);
 
--- a/filbertwick/net/upstream_api.cc
+++ b/filbertwick/net/upstream_api.cc
@@ -265,7 +265,8 @@
   }
 }
 
-void UpstreamApi::Handle(http::Request request, http::Responder respond) {
+void UpstreamApi::Handle(const http::Request& request,
+                       const http::Responder& respond) {
   impl_->Handle(request, respond);
 }
 
--- a/filbertwick/net/upstream_api.h
+++ b/filbertwick/net/upstream_api.h
@@ -45,7 +45,7 @@
   ~UpstreamApi();
 
   /// Handles one request; the response may be given later.
-  void Handle(http::Request request, http::Responder respond);
+  void Handle(const http::Request& request, const http::Responder& respond);
 
   /// Runs a task at the upstream; its end is posted as ExecutionEvent.
   void Start(core::StartEffect effect);
