--- /dev/null
+++ b/filbertwick/daemon/decision_loop.cc
@@ -0,0 +1,98 @@
+#include "filbertwick/daemon/decision_loop.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertwick::daemon {
+namespace {
+
+/// Effects that are handed on together at most, so that the first of them do
+/// not wait for the last.
+constexpr size_t kMaxEffects = 64;
+/// Longest sleep.
+constexpr Duration kMaxWait = std::chrono::milliseconds(500);
+/// Time between two looks at the core's readiness.
+constexpr Duration kReadyInterval = std::chrono::milliseconds(20);
+
+core::Now ReadClocks() {
+  return {MonotonicClock::now(), WallTime::Now()};
+}
+
+}  // namespace
+
+DecisionLoop::DecisionLoop(std::unique_ptr<core::Core> core,
+                           size_t capacity,
+                           EffectsHook effects)
+    : core_(std::move(core)),
+      inputs_(capacity),
+      effects_hook_(std::move(effects)),
+      thread_([this] { Run(); }) {}
+
+DecisionLoop::~DecisionLoop() {
+  Close();
+  thread_.join();
+}
+
+bool DecisionLoop::Offer(DecisionInput& input) {
+  return inputs_.TryPushFrom(input);
+}
+
+bool DecisionLoop::Push(DecisionInput input) {
+  return inputs_.Push(std::move(input));
+}
+
+void DecisionLoop::Close() {
+  inputs_.Close();
+}
+
+void DecisionLoop::Run() {
+  while (!inputs_.closed()) {
+    const Instant longest = MonotonicClock::now() + kMaxWait;
+    TakeAll(inputs_.PopAll(std::min(core_->NextWakeup(), longest)));
+    Wake();
+    Emit();
+    RefreshReady();
+  }
+}
+
+void DecisionLoop::TakeAll(std::deque<DecisionInput> inputs) {
+  for (DecisionInput& input : inputs) {
+    Take(input);
+    if (effects_.size() >= kMaxEffects) {
+      Emit();
+    }
+  }
+}
+
+void DecisionLoop::Take(DecisionInput& input) {
+  const core::Now now = ReadClocks();
+  if (auto* event = std::get_if<core::Event>(&input)) {
+    core_->Handle(now, std::move(*event), effects_);
+  } else {
+    std::get<CoreTask>(input)(*core_, now);
+  }
+}
+
+void DecisionLoop::Wake() {
+  const core::Now now = ReadClocks();
+  if (core_->NextWakeup() <= now.monotonic) {
+    core_->Handle(now, core::WakeupEvent{}, effects_);
+  }
+}
+
+void DecisionLoop::Emit() {
+  if (!effects_.empty()) {
+    effects_hook_(*core_, effects_);
+    effects_.clear();
+  }
+}
+
+void DecisionLoop::RefreshReady() {
+  const core::Now now = ReadClocks();
+  if (now.monotonic >= next_refresh_) {
+    ready_.store(core_->Status(now).ready, std::memory_order_relaxed);
+    next_refresh_ = now.monotonic + kReadyInterval;
+  }
+}
+
+}  // namespace filbertwick::daemon
--- a/filbertwick/json/document.h
+++ b/filbertwick/json/document.h
@@ -27,10 +27,15 @@
   /// Path from the root, such as `/services/0/name`; `/` is the root.
   const std::string& path() const { return path_; }
 
+<<<<<<< HEAD
   /// The value when it is a string, without quotes and escapes.
   std::optional<std::string> AsString() const;
   /// The value's JSON text; `text` is what the document was parsed from.
   std::string_view SourceIn(std::string_view text) const;
+=======
+  /// The field of an object, or the element of an array, that `name` names.
+  std::optional<Node> Child(std::string_view name) const;
+>>>>>>> main
 
   /// Adds a finding at this place; errors make the document invalid.
   void Report(std::string_view text,
@@ -60,6 +65,8 @@
 
   /// The root; only when the syntax is right.
   Node root() const;
+  /// The value at a path, or the nearest one above it that is there.
+  Node Find(std::string_view path) const;
   /// True when the text could be parsed, so that root() may be read.
   bool parsed() const;
   /// True when no finding is an error so far.
