--- a/filbertwick/daemon/decision_loop.cc
+++ b/filbertwick/daemon/decision_loop.cc
@@ -25,12 +25,15 @@
                            EffectsHook effects)
     : core_(std::move(core)),
       inputs_(capacity),
-      effects_hook_(std::move(effects)),
-      thread_([this] { Run(); }) {}
+      effects_hook_(std::move(effects)) {}
 
 DecisionLoop::~DecisionLoop() {
   Close();
-  thread_.join();
+  Join();
+}
+
+void DecisionLoop::Start() {
+  thread_ = std::thread([this] { Run(); });
 }
 
 bool DecisionLoop::Offer(DecisionInput& input) {
@@ -45,6 +48,12 @@
   inputs_.Close();
 }
 
+void DecisionLoop::Join() {
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
 void DecisionLoop::Run() {
   while (!inputs_.closed()) {
     const Instant longest = MonotonicClock::now() + kMaxWait;
--- a/filbertwick/daemon/decision_loop.h
+++ b/filbertwick/daemon/decision_loop.h
@@ -28,11 +28,11 @@
 /// wakes it when it asks for it.
 class DecisionLoop {
  public:
-  /// Starts the thread; at most `capacity` inputs wait.
+  /// A loop that does not run yet; at most `capacity` inputs wait.
   DecisionLoop(std::unique_ptr<core::Core> core,
                size_t capacity,
                EffectsHook effects);
-  /// Ends the thread; inputs that wait are dropped.
+  /// Ends the thread.
   ~DecisionLoop();
   DecisionLoop(const DecisionLoop&) = delete;
   DecisionLoop& operator=(const DecisionLoop&) = delete;
@@ -41,8 +41,12 @@
   bool Offer(DecisionInput& input);
   /// Adds an input and waits for room; false when the loop has ended.
   bool Push(DecisionInput input);
-  /// Refuses all later input.
+  /// Starts the thread.
+  void Start();
+  /// Refuses all later input; the thread ends soon. What waits is dropped.
   void Close();
+  /// Waits until the thread has ended.
+  void Join();
 
   /// What the core says of its readiness, as of a moment ago.
   bool ready() const { return ready_.load(std::memory_order_relaxed); }
--- /dev/null
+++ b/filbertwick/daemon/network_loop.cc
@@ -0,0 +1,319 @@
+#include "filbertwick/daemon/network_loop.h"
+
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <map>
+#include <thread>
+#include <utility>
+
+#include "filbertwick/base/bounded_ring.h"
+#include "filbertwick/http/server.h"
+#include "filbertwick/net/caller_api.h"
+#include "filbertwick/net/peer_transport.h"
+#include "filbertwick/net/upstream_api.h"
+
+namespace filbertwick::daemon {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+/// Batches of effects that wait for the network.
+constexpr size_t kMaxBatches = 4096;
+/// Time until a full ring to the core is tried again.
+constexpr Duration kRetryInterval = std::chrono::milliseconds(1);
+/// Time between two looks at what is still open.
+constexpr Duration kDrainInterval = std::chrono::milliseconds(5);
+
+}  // namespace
+
+/// The sockets, and what waits for the core.
+class NetworkLoop::Impl {
+ public:
+  Impl(const Settings& settings, Counters& counters, NetworkHooks hooks)
+      : settings_(settings),
+        counters_(counters),
+        hooks_(std::move(hooks)),
+        messages_lost_(counters.Get("peer_dropped_overloaded")),
+        work_(asio::make_work_guard(context_)),
+        retry_timer_(context_),
+        drain_timer_(context_),
+        inputs_(kMaxBatches) {}
+
+  ~Impl() { Stop(); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  absl::Status Listen() {
+    if (absl::Status status = ListenForHttp(); !status.ok()) {
+      return status;
+    }
+    info_ = settings_.node.info;
+    net::PeerTransportSettings settings;
+    settings.self = {info_.name, info_.incarnation};
+    settings.host = info_.address.host;
+    settings.udp_port = info_.address.udp_port;
+    settings.tcp_port = info_.address.tcp_port;
+    settings.http_port = server_->port();
+    settings.secret = settings_.peer_secret;
+    settings.seed = settings_.node.seed;
+    auto transport = net::PeerTransport::Create(
+        context_, settings, counters_,
+        [this](const InstanceName& name) { return FindPeer(name); },
+        [this](wire::Sender from, wire::Message message) {
+          TakeMessage(std::move(from), std::move(message));
+        });
+    if (!transport.ok()) {
+      return transport.status();
+    }
+    transport_ = *std::move(transport);
+    info_.address = transport_->address();
+    return absl::OkStatus();
+  }
+
+  void Start() {
+    thread_ = std::thread([this] { context_.run(); });
+  }
+
+  void Stop() {
+    inputs_.Close();
+    work_.reset();
+    context_.stop();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
+  void Push(NetworkInputs inputs) {
+    if (inputs_.Push(std::move(inputs)) && !wake_pending_.exchange(true)) {
+      asio::post(context_, [this] { TakeInputs(); });
+    }
+  }
+
+  void Drain(Duration limit, std::function<void()> done) {
+    asio::post(context_, [this, limit, done = std::move(done)] {
+      server_->StopAccepting();
+      AwaitDrained(MonotonicClock::now() + limit, done);
+    });
+  }
+
+  const wire::InstanceInfo& info() const { return info_; }
+
+ private:
+  bool IsEntry() const {
+    return settings_.node.info.role == wire::Role::kEntry;
+  }
+
+  absl::Status ListenForHttp() {
+    IsEntry() ? CreateCallerApi() : CreateUpstreamApi();
+    auto server = http::Server::Create(
+        context_, settings_.http,
+        [this](const http::Request& request, const http::Responder& respond) {
+          caller_api_ ? caller_api_->Handle(request, respond)
+                      : upstream_api_->Handle(request, respond);
+        },
+        [this](uint64_t number) {
+          if (caller_api_) {
+            caller_api_->OnGone(number);
+          }
+        });
+    if (!server.ok()) {
+      return server.status();
+    }
+    server_ = *std::move(server);
+    return absl::OkStatus();
+  }
+
+  void CreateCallerApi() {
+    net::CallerApiHooks hooks;
+    hooks.offer = [this](core::Event event) { return Offer(std::move(event)); };
+    hooks.post = [this](core::Event event) { Post(std::move(event)); };
+    hooks.ask_view = [this](net::ViewHook hook) {
+      return AskView(std::move(hook));
+    };
+    hooks.ready = hooks_.ready;
+    hooks.read_audit = hooks_.read_audit;
+    hooks.log = hooks_.log;
+    caller_api_ = net::CallerApi::Create(settings_.operator_token, counters_,
+                                         std::move(hooks));
+  }
+
+  void CreateUpstreamApi() {
+    net::UpstreamApiHooks hooks;
+    hooks.post = [this](core::Event event) { Post(std::move(event)); };
+    hooks.ask_view = [this](net::ViewHook hook) {
+      return AskView(std::move(hook));
+    };
+    hooks.ready = hooks_.ready;
+    net::UpstreamApiSettings settings;
+    settings.announce_timeout = settings_.announce_timeout;
+    upstream_api_ = net::UpstreamApi::Create(context_, settings, counters_,
+                                             std::move(hooks));
+  }
+
+  const wire::InstanceInfo* FindPeer(const InstanceName& name) const {
+    const auto it = peers_.find(name);
+    return it == peers_.end() ? nullptr : &it->second;
+  }
+
+  void TakeMessage(wire::Sender from, wire::Message message) {
+    if (!Offer(core::MessageEvent{std::move(from), std::move(message)})) {
+      messages_lost_.Add();
+    }
+  }
+
+  /// For events that may be refused: nothing overtakes what waits already.
+  bool Offer(core::Event event) {
+    DecisionInput input(std::move(event));
+    return waiting_.empty() && hooks_.offer(input);
+  }
+
+  /// For events that must reach the core.
+  void Post(core::Event event) {
+    waiting_.emplace_back(std::move(event));
+    PassWaiting();
+  }
+
+  void PassWaiting() {
+    while (!waiting_.empty() && hooks_.offer(waiting_.front())) {
+      waiting_.pop_front();
+    }
+    if (waiting_.empty()) {
+      return;
+    }
+    retry_timer_.expires_after(kRetryInterval);
+    retry_timer_.async_wait([this](error_code ec) {
+      if (!ec) {
+        PassWaiting();
+      }
+    });
+  }
+
+  bool AskView(net::ViewHook hook) {
+    DecisionInput input(CoreTask([this, hook = std::move(hook)](
+                                     const core::Core& core,
+                                     const core::Now& now) {
+      NetworkInputs inputs;
+      inputs.emplace_back(
+          ViewAnswer{hook, {core.Status(now), hooks_.bundle_text()}});
+      Push(std::move(inputs));
+    }));
+    return waiting_.empty() && hooks_.offer(input);
+  }
+
+  void TakeInputs() {
+    // Cleared first: a batch pushed from here on posts another wake-up.
+    wake_pending_ = false;
+    for (NetworkInputs& inputs : inputs_.PopAll(Instant())) {
+      for (NetworkInput& input : inputs) {
+        std::visit([this](auto& item) { Take(item); }, input);
+      }
+    }
+  }
+
+  void Take(core::SendEffect& effect) {
+    transport_->Send(effect.to, effect.message);
+  }
+  void Take(core::AnswerEffect& effect) {
+    if (caller_api_) {
+      caller_api_->Answer(effect);
+    }
+  }
+  void Take(core::OperatorAnswerEffect& effect) {
+    if (caller_api_) {
+      caller_api_->Answer(effect);
+    }
+  }
+  void Take(core::StartEffect& effect) {
+    if (upstream_api_) {
+      upstream_api_->Start(std::move(effect));
+    }
+  }
+  void Take(core::StopExecutionEffect& effect) {
+    if (upstream_api_) {
+      upstream_api_->Stop(effect);
+    }
+  }
+  void Take(PeerUpdate& update) { peers_[update.info.name] = update.info; }
+  void Take(ViewAnswer& answer) { answer.hook(std::move(answer.view)); }
+
+  void AwaitDrained(Instant end, const std::function<void()>& done) {
+    const bool open =
+        server_->open_connections() > 0 ||
+        (caller_api_ && caller_api_->open_requests() > 0) ||
+        (upstream_api_ && upstream_api_->running() > 0);
+    if (!open || MonotonicClock::now() >= end) {
+      done();
+      return;
+    }
+    drain_timer_.expires_after(kDrainInterval);
+    drain_timer_.async_wait([this, end, done](error_code ec) {
+      if (!ec) {
+        AwaitDrained(end, done);
+      }
+    });
+  }
+
+  const Settings settings_;
+  Counters& counters_;
+  const NetworkHooks hooks_;
+  Counter& messages_lost_;
+  asio::io_context context_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  asio::steady_timer retry_timer_;
+  asio::steady_timer drain_timer_;
+  BoundedRing<NetworkInputs> inputs_;
+  std::atomic<bool> wake_pending_ = false;
+  wire::InstanceInfo info_;
+  /// Instances of record, as the core's thread told.
+  std::map<InstanceName, wire::InstanceInfo> peers_;
+  /// Events that found no room; bounded by the open requests and running
+  /// tasks.
+  std::deque<DecisionInput> waiting_;
+  std::unique_ptr<net::CallerApi> caller_api_;
+  std::unique_ptr<net::UpstreamApi> upstream_api_;
+  std::unique_ptr<net::PeerTransport> transport_;
+  std::unique_ptr<http::Server> server_;
+  std::thread thread_;
+};
+
+absl::StatusOr<std::unique_ptr<NetworkLoop>> NetworkLoop::Create(
+    const Settings& settings,
+    Counters& counters,
+    NetworkHooks hooks) {
+  auto impl = std::make_unique<Impl>(settings, counters, std::move(hooks));
+  if (absl::Status status = impl->Listen(); !status.ok()) {
+    return status;
+  }
+  return std::unique_ptr<NetworkLoop>(new NetworkLoop(std::move(impl)));
+}
+
+NetworkLoop::NetworkLoop(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+NetworkLoop::~NetworkLoop() = default;
+
+const wire::InstanceInfo& NetworkLoop::info() const {
+  return impl_->info();
+}
+
+void NetworkLoop::Start() {
+  impl_->Start();
+}
+
+void NetworkLoop::Stop() {
+  impl_->Stop();
+}
+
+void NetworkLoop::Push(NetworkInputs inputs) {
+  impl_->Push(std::move(inputs));
+}
+
+void NetworkLoop::Drain(Duration limit, std::function<void()> done) {
+  impl_->Drain(limit, std::move(done));
+}
+
+}  // namespace filbertwick::daemon
--- a/filbertwick/json/document.h
+++ b/filbertwick/json/document.h
@@ -27,15 +27,12 @@
   /// Path from the root, such as `/services/0/name`; `/` is the root.
   const std::string& path() const { return path_; }
 
-<<<<<<< HEAD
   /// The value when it is a string, without quotes and escapes.
   std::optional<std::string> AsString() const;
   /// The value's JSON text; `text` is what the document was parsed from.
   std::string_view SourceIn(std::string_view text) const;
-=======
   /// The field of an object, or the element of an array, that `name` names.
   std::optional<Node> Child(std::string_view name) const;
->>>>>>> main
 
   /// Adds a finding at this place; errors make the document invalid.
   void Report(std::string_view text,
--- a/filbertwick/net/job_codec.cc
+++ b/filbertwick/net/job_codec.cc
@@ -82,6 +82,8 @@
     case wire::Reason::kDigestMismatch:
     case wire::Reason::kCancelled:
       return 409;
+    case wire::Reason::kExpired:
+      return 410;
     default:
       return 503;
   }
