--- a/filbertwick/net/upstream_api.cc
+++ b/filbertwick/net/upstream_api.cc
@@ -7,6 +7,7 @@
 #include <exception>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "filbertwick/http/client.h"
 #include "filbertwick/net/announcement.h"
@@ -100,6 +101,7 @@
     }
     started_.Add();
     ++running_;
+    ++open_calls_;
     http::Request request;
     request.method = "POST";
     request.target = TaskTarget(effect.key, effect.attempt);
@@ -109,31 +111,27 @@
     const Duration timeout =
         effect.timeout > Duration(0) ? effect.timeout : kDefaultTaskTimeout;
     client_->Call(std::move(request), timeout,
-                  [weak = weak_from_this(), client = client_, key = effect.key,
+                  [this, client = client_.get(), key = effect.key,
                    attempt = effect.attempt](http::CallResult result) {
-                    if (const auto self = weak.lock()) {
-                      self->OnCallEnded(client, key, attempt,
-                                        std::move(result));
-                    }
+                    OnCallEnded(*client, key, attempt, std::move(result));
                   });
   }
 
   void Stop(const core::StopExecutionEffect& effect) {
     if (client_) {
-      SendStop(client_, effect.key, effect.attempt);
+      SendStop(*client_, effect.key, effect.attempt);
     }
   }
 
   void Close() {
     timer_.cancel();
+    replaced_.clear();
     client_.reset();
   }
 
   size_t running() const { return running_; }
 
  private:
-  using ClientPtr = std::shared_ptr<http::Client>;
-
   void HandleAnnouncement(const http::Request& request,
                           const http::Responder& respond) {
     const auto announcement = ParseAnnouncement(request.body);
@@ -165,6 +163,9 @@
     settings.port = announcement.port;
     settings.max_connections = settings_.max_connections;
     settings.max_body_bytes = 2 * wire::kMaxTaskBytes;
+    if (client_) {
+      replaced_.push_back(std::move(client_));
+    }
     client_ = http::Client::Create(context_, settings);
   }
 
@@ -185,7 +186,7 @@
     hooks_.post(core::UpstreamEvent{0, false});
   }
 
-  void OnCallEnded(const ClientPtr& client,
+  void OnCallEnded(http::Client& client,
                    const wire::TaskKey& key,
                    uint32_t attempt,
                    http::CallResult result) {
@@ -203,26 +204,33 @@
       SendStop(client, key, attempt);
     }
     PostEnd(key, attempt, std::move(judged));
-    ReleaseLater(client);
+    EndCall();
   }
 
-  /// A replaced client must not go inside its own hook.
-  void ReleaseLater(const ClientPtr& client) {
-    boost::asio::post(context_, [client] {});
+  /// Replaced clients stay until no call is open, and do not go inside a hook
+  /// of their own.
+  void EndCall() {
+    --open_calls_;
+    if (replaced_.empty()) {
+      return;
+    }
+    boost::asio::post(context_, [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && self->open_calls_ == 0) {
+        self->replaced_.clear();
+      }
+    });
   }
 
-  void SendStop(const ClientPtr& client,
+  void SendStop(http::Client& client,
                 const wire::TaskKey& key,
                 uint32_t attempt) {
     http::Request request;
     request.method = "DELETE";
     request.target = TaskTarget(key, attempt);
-    client->Call(std::move(request), kStopTimeout,
-                 [weak = weak_from_this(), client](const http::CallResult&) {
-                   if (const auto self = weak.lock()) {
-                     self->ReleaseLater(client);
-                   }
-                 });
+    ++open_calls_;
+    client.Call(std::move(request), kStopTimeout,
+                [this](const http::CallResult&) { EndCall(); });
   }
 
   void PostEnd(const wire::TaskKey& key,
@@ -242,8 +250,12 @@
   Counter& silent_;
   /// What was announced last; nothing while the upstream is silent.
   std::optional<Announcement> present_;
-  ClientPtr client_;
+  /// Its hooks do not run after its destruction, which Close() brings.
+  std::unique_ptr<http::Client> client_;
+  /// Clients of former addresses, while calls may be open there.
+  std::vector<std::unique_ptr<http::Client>> replaced_;
   size_t running_ = 0;
+  size_t open_calls_ = 0;
 };
 
 std::unique_ptr<UpstreamApi> UpstreamApi::Create(
--- a/unit_tests/peer_transport_test.cc
+++ b/unit_tests/peer_transport_test.cc
@@ -211,7 +211,7 @@
   wire::Probe probe;
   for (uint16_t n = 0; n < 64; ++n) {
     probe.statement.overrides.push_back(
-        {n, {1, 2, InstanceName(std::string(40, 'n'))}});
+        {n, {1, 2, 0, InstanceName(std::string(40, 'n'))}});
   }
   a.transport->Send(b.info.name, probe);
   cluster.RunUntil([&] { return b.received.size() == 4; });
