--- /dev/null
+++ b/filbertwick/daemon/output_loop.cc
@@ -0,0 +1,45 @@
+#include "filbertwick/daemon/output_loop.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace filbertwick::daemon {
+namespace {
+
+constexpr size_t kMaxLines = 10'000;
+constexpr Duration kMaxWait = std::chrono::seconds(1);
+
+}  // namespace
+
+OutputLoop::OutputLoop(LogSink sink)
+    : sink_(std::move(sink)), lines_(kMaxLines), thread_([this] { Run(); }) {}
+
+OutputLoop::~OutputLoop() {
+  lines_.Close();
+  thread_.join();
+}
+
+void OutputLoop::Write(const char* prefix, std::string text) {
+  if (!lines_.TryPush({prefix, std::move(text)})) {
+    lost_.fetch_add(1, std::memory_order_relaxed);
+  }
+}
+
+void OutputLoop::Run() {
+  while (true) {
+    const bool closed = lines_.closed();
+    const auto lines = lines_.PopAll(MonotonicClock::now() + kMaxWait);
+    for (const OutputLine& line : lines) {
+      Logger(line.prefix, sink_).Write(line.text);
+    }
+    if (const uint64_t lost = lost_.exchange(0); lost > 0) {
+      Logger("output", sink_).Write(fmt::format("{} lines were lost", lost));
+    }
+    if (closed) {
+      return;
+    }
+  }
+}
+
+}  // namespace filbertwick::daemon
