--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -52,6 +52,10 @@
 # Criterion, and registers it with ctest.
 #   fw_test(<name> <package>...)
 function(fw_test name)
+  # A line that came twice with a merge means the same test.
+  if(TARGET ${name})
+    return()
+  endif()
   add_executable(${name} ${CMAKE_SOURCE_DIR}/unit_tests/${name}.cc)
   list(TRANSFORM ARGN PREPEND fw_)
   target_link_libraries(${name} PRIVATE ${ARGN} PkgConfig::CRITERION)
--- a/filbertwick/daemon/audit_trail.cc
+++ b/filbertwick/daemon/audit_trail.cc
@@ -26,10 +26,10 @@
 }
 
 std::string FormatAuditLine(const core::AuditEffect& line) {
-  std::string text = fmt::format(
-      "offset {}: {} by {} (change {}): {}", line.offset, line.what,
-      line.author.value(), line.change.value(),
-      line.accepted ? "accepted" : "refused");
+  std::string text =
+      fmt::format("offset {}: {} by {} (change {}): {}", line.offset, line.what,
+                  line.author.value(), line.change.value(),
+                  line.accepted ? "accepted" : "refused");
   if (!line.why.empty()) {
     text += ", " + line.why;
   }
--- a/filbertwick/daemon/network_loop.cc
+++ b/filbertwick/daemon/network_loop.cc
@@ -194,14 +194,14 @@
   }
 
   bool AskView(net::ViewHook hook) {
-    DecisionInput input(CoreTask([this, hook = std::move(hook)](
-                                     const core::Core& core,
-                                     const core::Now& now) {
-      NetworkInputs inputs;
-      inputs.emplace_back(
-          ViewAnswer{hook, {core.Status(now), hooks_.bundle_text()}});
-      Push(std::move(inputs));
-    }));
+    DecisionInput input(
+        CoreTask([this, hook = std::move(hook)](const core::Core& core,
+                                                const core::Now& now) {
+          NetworkInputs inputs;
+          inputs.emplace_back(
+              ViewAnswer{hook, {core.Status(now), hooks_.bundle_text()}});
+          Push(std::move(inputs));
+        }));
     return waiting_.empty() && hooks_.offer(input);
   }
 
@@ -242,10 +242,9 @@
   void Take(ViewAnswer& answer) { answer.hook(std::move(answer.view)); }
 
   void AwaitDrained(Instant end, const std::function<void()>& done) {
-    const bool open =
-        server_->open_connections() > 0 ||
-        (caller_api_ && caller_api_->open_requests() > 0) ||
-        (upstream_api_ && upstream_api_->running() > 0);
+    const bool open = server_->open_connections() > 0 ||
+                      (caller_api_ && caller_api_->open_requests() > 0) ||
+                      (upstream_api_ && upstream_api_->running() > 0);
     if (!open || MonotonicClock::now() >= end) {
       done();
       return;
--- a/filbertwick/daemon/network_loop.h
+++ b/filbertwick/daemon/network_loop.h
@@ -58,10 +58,8 @@
  public:
   /// Binds every port; Unavailable when one can't be bound. Nothing is
   /// received before Start(). `counters` must outlive it.
-  static absl::StatusOr<std::unique_ptr<NetworkLoop>> Create(
-      const Settings& settings,
-      Counters& counters,
-      NetworkHooks hooks);
+  static absl::StatusOr<std::unique_ptr<NetworkLoop>>
+  Create(const Settings& settings, Counters& counters, NetworkHooks hooks);
   /// Closes all sockets.
   ~NetworkLoop();
 
--- a/filbertwick/daemon/platform_loop.cc
+++ b/filbertwick/daemon/platform_loop.cc
@@ -10,8 +10,8 @@
     : push_(std::move(push)), work_(boost::asio::make_work_guard(context_)) {
   platform::LogClientHooks hooks;
   hooks.read = [this](platform::LogBatch batch) {
-    push_(core::LogReadEvent{batch.first, std::move(batch.records),
-                             batch.head});
+    push_(
+        core::LogReadEvent{batch.first, std::move(batch.records), batch.head});
   };
   hooks.down = [this](const absl::Status&) { push_(core::LogDownEvent{}); };
   hooks.append_failed = [this](std::span<const ChangeId> changes) {
@@ -19,8 +19,8 @@
       push_(core::AppendFailedEvent{change});
     }
   };
-  client_ = platform::LogClient::Create(context_, settings, 0,
-                                        std::move(hooks));
+  client_ =
+      platform::LogClient::Create(context_, settings, 0, std::move(hooks));
   thread_ = std::thread([this] { context_.run(); });
 }
 
--- a/filbertwick/net/upstream_api.cc
+++ b/filbertwick/net/upstream_api.cc
@@ -278,7 +278,7 @@
 }
 
 void UpstreamApi::Handle(const http::Request& request,
-                       const http::Responder& respond) {
+                         const http::Responder& respond) {
   impl_->Handle(request, respond);
 }
 
--- a/unit_tests/decision_loop_test.cc
+++ b/unit_tests/decision_loop_test.cc
@@ -14,8 +14,8 @@
 
 namespace {
 
-using filbertwick::Instant;
 using filbertwick::InstanceName;
+using filbertwick::Instant;
 using filbertwick::daemon::AuditTrail;
 using filbertwick::daemon::DecisionInput;
 using filbertwick::daemon::DecisionLoop;
@@ -33,8 +33,7 @@
               core::Event event,
               core::Effects& effects) override {
     if (const auto* query = std::get_if<core::QueryEvent>(&event)) {
-      effects.emplace_back(
-          core::LogEffect{std::to_string(query->request)});
+      effects.emplace_back(core::LogEffect{std::to_string(query->request)});
     } else if (std::holds_alternative<core::WakeupEvent>(event)) {
       cr_assert(now.monotonic >= wakeup_);
       wakeup_ = Instant::max();
@@ -121,8 +120,8 @@
   }
   DecisionInput last(Query(77));
   cr_assert_not(loop->Offer(last));
-  cr_assert_eq(
-      std::get<core::QueryEvent>(std::get<core::Event>(last)).request, 77);
+  cr_assert_eq(std::get<core::QueryEvent>(std::get<core::Event>(last)).request,
+               77);
   loop->Start();
   cr_assert(loop->Push(std::move(last)));
   // The wake-up is one line more, wherever it comes.
@@ -147,9 +146,8 @@
   refused.author = filbertwick::AuthorName("ann");
   refused.change = filbertwick::ChangeId("c1");
   refused.why = "bob was first";
-  cr_assert(
-      filbertwick::daemon::FormatAuditLine(refused) ==
-      "offset 9: zone a out by ann (change c1): refused, bob was first");
+  cr_assert(filbertwick::daemon::FormatAuditLine(refused) ==
+            "offset 9: zone a out by ann (change c1): refused, bob was first");
 }
 
 Test(output_loop, writes_all_lines_in_order_before_it_ends) {
--- a/unit_tests/upstream_api_test.cc
+++ b/unit_tests/upstream_api_test.cc
@@ -211,8 +211,7 @@
       fixture.context, {},
       [](const Request&, const Responder& respond) { respond({}); });
   cr_assert(moved.ok());
-  fixture.Announce(
-      fmt::format(R"({{"slots":8,"port":{}}})", (*moved)->port()));
+  fixture.Announce(fmt::format(R"({{"slots":8,"port":{}}})", (*moved)->port()));
   cr_assert(fixture.Run("any").outcome == wire::TaskOutcome::kSucceeded);
   cr_assert_eq(fixture.requests.size(), 1);
   // The call to the former address still ends.
