--- a/filbertwick/base/bounded_ring.h
+++ b/filbertwick/base/bounded_ring.h
@@ -21,7 +21,11 @@
   explicit BoundedRing(size_t capacity) : capacity_(capacity) {}
 
   /// Adds an item, or returns false when the ring is full or closed.
-  bool TryPush(T item) {
+  bool TryPush(T item) { return TryPushFrom(item); }
+
+  /// Adds an item, or returns false and leaves it as it is when the ring is
+  /// full or closed.
+  bool TryPushFrom(T& item) {
     {
       std::lock_guard lock(mutex_);
       if (closed_ || items_.size() >= capacity_) {
--- a/filbertwick/core/policy/dispatcher.h
+++ b/filbertwick/core/policy/dispatcher.h
@@ -48,7 +48,7 @@
   kFailed,
   /// Came back certainly not started: refused, withdrawn or expired.
   kNotStarted,
-  /// Its worker was lost.
+  /// Its worker was lost, or it did not end in time.
   kLost,
   /// Its owner stopped it while it ran; says nothing of its worker.
   kStopped,
