Keep the credit of teams that come back in the fair queue

Cause: a team that came back started at the virtual time of the team served last, which a greedy team drives up, so it gained nothing over that team. Change: it starts at the least virtual time of the teams that wait, and the weight of use against remaining work is 1.0, not 0.05.

--- a/filbertwick/core/policy/fair_queue.cc
+++ b/filbertwick/core/policy/fair_queue.cc
@@ -116,7 +116,6 @@
     const auto weight = weights_.find(id);
     const double share = weight == weights_.end() ? 1.0 : weight->second;
     Displace(lane, id);
-    lane.virtual_time = std::max(lane.virtual_time, team.virtual_time);
     team.virtual_time +=
         static_cast<double>(job.info.task_run_time.count()) / share;
     Place(lane, id);
@@ -209,12 +208,15 @@
   const double fairness = settings_.fair_teams ? settings_.fairness : 0.0;
   team.key = team.jobs.begin()->first + fairness * team.virtual_time;
   lane.order.emplace(team.key, id);
+  lane.by_time.emplace(team.virtual_time, id);
+  lane.virtual_time = std::max(lane.virtual_time, lane.by_time.begin()->first);
 }
 
 void FairQueue::Displace(Lane& lane, TeamId id) {
   const TeamLane& team = lane.teams.at(id);
   if (!team.jobs.empty()) {
     lane.order.erase({team.key, id});
+    lane.by_time.erase({team.virtual_time, id});
   }
 }
 
--- a/filbertwick/core/policy/fair_queue.h
+++ b/filbertwick/core/policy/fair_queue.h
@@ -92,6 +92,9 @@
     std::map<TeamId, TeamLane> teams;
     /// Teams with waiting tasks, least key first.
     std::set<std::pair<double, TeamId>> order;
+    /// The same teams by their virtual time.
+    std::set<std::pair<double, TeamId>> by_time;
+    /// The least virtual time of teams that waited last.
     double virtual_time = 0;
     uint64_t size = 0;
     /// Waiting work by the logarithm of its job's remaining work.
--- a/filbertwick/core/policy/policy_settings.h
+++ b/filbertwick/core/policy/policy_settings.h
@@ -19,7 +19,7 @@
   bool fair_teams = true;
   /// Penalty of a team for work it got, against remaining work of a job: 0 is
   /// no fairness, large is fairness alone.
-  double fairness = 0.05;
+  double fairness = 1.0;
   /// Urgent jobs go before bulk ones.
   bool urgent_first = true;
   /// Of this many placements one goes to bulk jobs while both classes wait.
