--- a/filbertwick/core/policy/policy_settings.h
+++ b/filbertwick/core/policy/policy_settings.h
@@ -50,7 +50,7 @@
 struct SharingSettings {
   /// Share of all slots that is reserved, in equal parts for each entry, so
   /// that one entry's long job does not keep another's short one waiting.
-  double reserved_share = 0.1;
+  double reserved_share = 0.07;
 };
 
 /// Setting upstreams aside that fail more than the others.
--- a/filbertwick/core/policy/service_scheduler.cc
+++ b/filbertwick/core/policy/service_scheduler.cc
@@ -70,12 +70,8 @@
 }
 
 void ServiceScheduler::UpsertUpstream(const UpstreamInfo& info) {
-  const auto [it, added] = upstream_ids_.try_emplace(
-      info.name, static_cast<UpstreamId>(upstreams_.size()));
-  if (added) {
-    upstreams_.emplace_back();
-  }
-  Upstream& upstream = upstreams_[it->second];
+  const UpstreamId id = IdOf(info.name);
+  Upstream& upstream = upstreams_[id];
   if (!upstream.present) {
     upstream.run_time = RunTimeEstimator(Duration(0));
     RestartSlowly(upstream);
@@ -83,8 +79,8 @@
   }
   upstream.info = info;
   upstream.present = true;
-  ejector_.Add(it->second);
-  Refresh(it->second);
+  ejector_.Add(id);
+  Refresh(id);
 }
 
 void ServiceScheduler::RemoveUpstream(const InstanceName& name) {
@@ -92,13 +88,15 @@
   if (it == upstream_ids_.end()) {
     return;
   }
-  Upstream& upstream = upstreams_[it->second];
+  const UpstreamId id = it->second;
+  Upstream& upstream = upstreams_[id];
   upstream.present = false;
   upstream.load.reset();
   upstream.others = 0;
   reservations_due_ = true;
-  ejector_.Remove(it->second);
-  Refresh(it->second);
+  ejector_.Remove(id);
+  Refresh(id);
+  ReleaseIfUnused(id);
 }
 
 void ServiceScheduler::UpdateLoad(const InstanceName& name,
@@ -274,7 +272,7 @@
       end == TaskEnd::kNotStarted && unstarted_.contains({task->placed, ref});
   const bool stalled = end == TaskEnd::kStopped && IsStalled(*task, now);
   LeaveUpstream(ref, *task);
-  if (refused) {
+  if (refused && upstream.present) {
     Block(id, now);
   }
   if (end == TaskEnd::kNotStarted) {
@@ -321,6 +319,32 @@
   blocked_.emplace(upstream.blocked_until, id);
 }
 
+UpstreamId ServiceScheduler::IdOf(const InstanceName& name) {
+  const auto next = static_cast<UpstreamId>(upstreams_.size());
+  const auto [it, added] = upstream_ids_.try_emplace(name, next);
+  if (!added) {
+    return it->second;
+  }
+  if (free_ids_.empty()) {
+    upstreams_.emplace_back();
+    return next;
+  }
+  it->second = free_ids_.back();
+  free_ids_.pop_back();
+  upstreams_[it->second] = Upstream();
+  return it->second;
+}
+
+void ServiceScheduler::ReleaseIfUnused(UpstreamId id) {
+  const Upstream& upstream = upstreams_[id];
+  if (upstream.present || upstream.placed > 0) {
+    return;
+  }
+  blocked_.erase({upstream.blocked_until, id});
+  upstream_ids_.erase(upstream.info.name);
+  free_ids_.push_back(id);
+}
+
 bool ServiceScheduler::IsStalled(const Task& task, Instant now) const {
   return task.phase == Phase::kStarted &&
          now - task.started > kStalledTimes * run_time_.Quantile(0.999);
@@ -427,6 +451,7 @@
     ClearUnstarted(ref, task);
   }
   Refresh(task.upstream);
+  ReleaseIfUnused(task.upstream);
 }
 
 Duration ServiceScheduler::JobRunTime(const Job& job) const {
--- a/filbertwick/core/policy/service_scheduler.h
+++ b/filbertwick/core/policy/service_scheduler.h
@@ -152,6 +152,8 @@
   void ClearUnstarted(const TaskRef& ref, const Task& task);
   void Measure(Job& job, Upstream& upstream, Duration run_time);
   void Block(UpstreamId id, Instant now);
+  UpstreamId IdOf(const InstanceName& name);
+  void ReleaseIfUnused(UpstreamId id);
   bool IsStalled(const Task& task, Instant now) const;
   void LeaveUpstream(const TaskRef& ref, const Task& task);
   Duration JobRunTime(const Job& job) const;
@@ -173,6 +175,8 @@
   RetryBudget retries_;
   std::map<InstanceName, UpstreamId> upstream_ids_;
   std::vector<Upstream> upstreams_;
+  /// Numbers of upstreams that are gone and have no tasks left.
+  std::vector<UpstreamId> free_ids_;
   std::set<ZoneName> zones_out_;
   std::unordered_map<JobHandle, Job> jobs_;
   /// Placed tasks, not started nor asked back yet, oldest first.
--- /dev/null
+++ b/unit_tests/policy_test.cc
@@ -0,0 +1,289 @@
+// Each class of the policy alone.
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+#include "filbertwick/core/policy/admission_control.h"
+#include "filbertwick/core/policy/ejector.h"
+#include "filbertwick/core/policy/fair_queue.h"
+#include "filbertwick/core/policy/placement_index.h"
+#include "filbertwick/core/policy/retry_budget.h"
+#include "filbertwick/core/policy/run_time_estimator.h"
+
+namespace filbertwick::core::policy {
+namespace {
+
+using bundle::DeadlineClass;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart = Instant(seconds(1));
+
+// Adds a job whose tasks of 100 ms all wait.
+void AddJob(FairQueue& queue,
+            JobHandle job,
+            uint32_t tasks,
+            TeamId team = 0,
+            DeadlineClass deadline_class = DeadlineClass::kBulk,
+            Instant arrival = kStart) {
+  queue.AddJob(job, {.team = team,
+                     .deadline_class = deadline_class,
+                     .task_run_time = milliseconds(100),
+                     .unfinished = tasks,
+                     .arrival = arrival});
+  for (uint32_t i = 0; i < tasks; ++i) {
+    queue.AddTask({job, i}, false);
+  }
+}
+
+Test(fair_queue, the_least_remaining_work_goes_first) {
+  FairQueue queue{QueueSettings{}};
+  AddJob(queue, 1, 9);
+  AddJob(queue, 2, 3);
+  cr_assert_eq(queue.Peek()->job, 2);
+  queue.Update(1, 2, milliseconds(100));
+  cr_assert_eq(queue.Peek()->job, 1);
+  cr_assert_eq(queue.WorkAhead(DeadlineClass::kBulk, seconds(9)),
+               Duration(milliseconds(1200)));
+  queue.RemoveJob(1);
+  cr_assert_eq(*queue.Pop(), (TaskRef{2, 0}));
+  cr_assert(queue.RemoveTask({2, 1}));
+  cr_assert_not(queue.RemoveTask({2, 1}));
+  queue.AddTask({2, 0}, true);
+  cr_assert_eq(*queue.Pop(), (TaskRef{2, 0}));
+  cr_assert_eq(*queue.Pop(), (TaskRef{2, 2}));
+  cr_assert_eq(queue.size(), 0);
+  cr_assert_not(queue.Pop().has_value());
+}
+
+Test(fair_queue, a_long_job_does_not_wait_for_ever) {
+  FairQueue queue{QueueSettings{}};
+  AddJob(queue, 1, 100);
+  // 10 s of work against 0.1 s with ageing of a tenth: 99 s of waiting.
+  AddJob(queue, 2, 1, 0, DeadlineClass::kBulk, kStart + seconds(98));
+  cr_assert_eq(queue.Peek()->job, 2);
+  AddJob(queue, 3, 1, 0, DeadlineClass::kBulk, kStart + seconds(101));
+  queue.RemoveJob(2);
+  cr_assert_eq(queue.Peek()->job, 1);
+}
+
+Test(fair_queue, urgent_goes_first_but_bulk_keeps_its_share) {
+  FairQueue queue{QueueSettings{.bulk_every = 10}};
+  AddJob(queue, 1, 100);
+  AddJob(queue, 2, 100, 0, DeadlineClass::kUrgent);
+  int bulk = 0;
+  for (int i = 0; i < 100; ++i) {
+    bulk += queue.Pop()->job == 1 ? 1 : 0;
+  }
+  cr_assert_eq(bulk, 10);
+  cr_assert_eq(queue.Pop(true)->job, 2);
+}
+
+Test(fair_queue, teams_share_by_weight) {
+  FairQueue queue{QueueSettings{.fairness = 1e6}};
+  queue.SetWeight(1, 3);
+  AddJob(queue, 1, 400, 0);
+  AddJob(queue, 2, 400, 1);
+  int heavy = 0;
+  for (int i = 0; i < 400; ++i) {
+    heavy += queue.Pop()->job == 2 ? 1 : 0;
+  }
+  cr_assert_geq(heavy, 299);
+  cr_assert_leq(heavy, 301);
+  // A team that comes now gets its share from now on, not for the past.
+  AddJob(queue, 3, 400, 2);
+  int late = 0;
+  for (int i = 0; i < 50; ++i) {
+    late += queue.Pop()->job == 3 ? 1 : 0;
+  }
+  cr_assert_geq(late, 9);
+  cr_assert_leq(late, 11);
+}
+
+UpstreamPlace Place(uint32_t busy, Duration distance = Duration(500)) {
+  return {.distance = distance,
+          .slots = 4,
+          .busy = busy,
+          .limit = 5,
+          .run_time = milliseconds(100),
+          .usual_run_time = milliseconds(100)};
+}
+
+Test(placement_index, prefers_free_slots_then_the_shortest_wait) {
+  PlacementIndex index(PlacementSettings{}, 1);
+  cr_assert_not(index.Best().has_value());
+  index.Set(0, Place(4));
+  index.Set(1, Place(2, milliseconds(2)));
+  cr_assert_eq(*index.Best(), 1);
+  cr_assert(index.HasFreeSlot(1));
+  cr_assert_eq(index.free_slots(), 2);
+  index.Set(1, Place(5));
+  cr_assert_eq(*index.Best(), 0);
+  // A slow one with a free slot is worse than a short queue.
+  UpstreamPlace slow = Place(0);
+  slow.run_time = seconds(1);
+  index.Set(2, slow);
+  cr_assert_eq(*index.Best(), 0);
+  index.Remove(0);
+  cr_assert_eq(*index.Best(), 2);
+  index.Remove(2);
+  // Full ones are never given.
+  cr_assert_not(index.Best().has_value());
+  cr_assert_eq(index.slots(), 4);
+}
+
+Test(placement_index, own_zone_only_among_equals_and_ties_by_seed) {
+  std::vector<UpstreamId> firsts;
+  for (uint64_t seed = 0; seed < 32; ++seed) {
+    PlacementIndex index(PlacementSettings{}, seed);
+    for (UpstreamId id = 0; id < 8; ++id) {
+      index.Set(id, Place(1));
+    }
+    firsts.push_back(*index.Best());
+    UpstreamPlace own = Place(1);
+    own.own_zone = true;
+    index.Set(9, own);
+    cr_assert_eq(*index.Best(), 9);
+    own.busy = 4;
+    index.Set(9, own);
+    cr_assert_neq(*index.Best(), 9);
+  }
+  std::ranges::sort(firsts);
+  const auto same = std::ranges::unique(firsts);
+  firsts.erase(same.begin(), same.end());
+  cr_assert_geq(firsts.size(), 6);
+}
+
+Test(run_time_estimator, follows_the_mean_and_the_quantiles) {
+  RunTimeEstimator estimator(milliseconds(300));
+  cr_assert_eq(estimator.mean(), Duration(milliseconds(300)));
+  for (int i = 1; i <= 1000; ++i) {
+    estimator.Add(milliseconds(1 + i * 617 % 1000));
+  }
+  const auto near = [](Duration it, double millis) {
+    return std::abs(it.count() / 1000.0 - millis) <= 0.11 * millis;
+  };
+  cr_assert(near(estimator.Quantile(0.5), 500));
+  cr_assert(near(estimator.Quantile(0.99), 990));
+  cr_assert_gt(estimator.mean(), milliseconds(350));
+  cr_assert_lt(estimator.mean(), milliseconds(650));
+  for (int i = 0; i < 6000; ++i) {
+    estimator.Add(milliseconds(50));
+  }
+  cr_assert(near(estimator.mean(), 50));
+  cr_assert(near(estimator.Quantile(0.5), 50));
+}
+
+Ejector MakeEjector(UpstreamId upstreams) {
+  Ejector ejector{EjectionSettings{}};
+  for (UpstreamId id = 0; id < upstreams; ++id) {
+    ejector.Add(id);
+  }
+  return ejector;
+}
+
+Test(ejector, sets_aside_one_that_fails_everything_and_probes_it) {
+  Ejector ejector = MakeEjector(5);
+  int failures = 0;
+  while (!ejector.IsEjected(0)) {
+    ejector.OnSuccess(1 + failures % 4);
+    ejector.OnFailure(0, ++failures, kStart);
+  }
+  cr_assert_eq(failures, 3);
+  cr_assert_eq(ejector.TakeChanges().size(), 1);
+  cr_assert(ejector.TakeDueProbes(kStart).empty());
+  // A probe that fails doubles the time to the next.
+  Instant due = ejector.NextProbe();
+  cr_assert_eq(ejector.TakeDueProbes(due).size(), 1);
+  cr_assert(ejector.IsProbing(0));
+  ejector.OnFailure(0, 100, due);
+  cr_assert_not(ejector.IsProbing(0));
+  cr_assert_eq(ejector.NextProbe() - due, 2 * (due - kStart));
+  due = ejector.NextProbe();
+  ejector.TakeDueProbes(due);
+  ejector.OnSuccess(0);
+  cr_assert_not(ejector.IsEjected(0));
+  cr_assert_eq(ejector.TakeChanges().size(), 1);
+}
+
+Test(ejector, a_job_that_fails_everywhere_ejects_nobody) {
+  Ejector ejector = MakeEjector(5);
+  for (JobHandle job = 1; job <= 50; ++job) {
+    for (UpstreamId id = 0; id < 5; ++id) {
+      ejector.OnFailure(id, job, kStart);
+    }
+  }
+  cr_assert(ejector.TakeChanges().empty());
+}
+
+Test(ejector, failures_that_all_upstreams_have_eject_nobody) {
+  Ejector ejector = MakeEjector(5);
+  for (JobHandle job = 1; job <= 5000; ++job) {
+    const UpstreamId id = job * 7 % 5;
+    if (job % 11 == 0) {
+      ejector.OnFailure(id, job, kStart);
+    } else {
+      ejector.OnSuccess(id);
+    }
+  }
+  cr_assert(ejector.TakeChanges().empty());
+}
+
+Test(ejector, never_more_than_the_share) {
+  Ejector ejector = MakeEjector(10);
+  for (JobHandle job = 0; job < 1000; ++job) {
+    ejector.OnFailure(job % 5, job, kStart);
+    ejector.OnSuccess(5 + job % 5);
+  }
+  int ejected = 0;
+  for (UpstreamId id = 0; id < 10; ++id) {
+    ejected += ejector.IsEjected(id) ? 1 : 0;
+  }
+  cr_assert_eq(ejected, 2);
+  // The only upstream is kept whatever it does.
+  Ejector alone = MakeEjector(1);
+  for (JobHandle job = 0; job < 100; ++job) {
+    alone.OnFailure(0, job, kStart);
+  }
+  cr_assert_not(alone.IsEjected(0));
+}
+
+Test(retry_budget, allows_a_share_of_first_sends) {
+  RetryBudget budget{RetrySettings{.share = 0.1, .stock = 5}};
+  int taken = 0;
+  for (int i = 0; i < 1000; ++i) {
+    budget.OnFirstSend();
+    taken += budget.Take() ? 1 : 0;
+  }
+  cr_assert_geq(taken, 100);
+  cr_assert_leq(taken, 106);
+}
+
+Test(admission_control, refuses_early_what_would_end_too_late) {
+  const AdmissionControl control{AdmissionSettings{}};
+  AdmissionState state{.slots = 10,
+                       .work_ahead = seconds(10),
+                       .task_run_time = milliseconds(100),
+                       .waiting = 10,
+                       .waiting_limit = 100,
+                       .team_unfinished = 0,
+                       .team_quota = 50};
+  cr_assert_eq(control.Decide(1, seconds(2), state).reason,
+               wire::Reason::kNone);
+  const Admission late = control.Decide(1, seconds(1), state);
+  cr_assert_eq(late.reason, wire::Reason::kOverloaded);
+  cr_assert_eq(late.retry_after, Duration(milliseconds(300)));
+  cr_assert_eq(control.Decide(51, seconds(60), state).reason,
+               wire::Reason::kOverQuota);
+  state.waiting = 100;
+  cr_assert_eq(control.Decide(1, seconds(60), state).reason,
+               wire::Reason::kOverloaded);
+  state.slots = 0;
+  cr_assert_eq(control.Decide(1, seconds(60), state).reason,
+               wire::Reason::kNoUpstream);
+}
+
+}  // namespace
+}  // namespace filbertwick::core::policy
