--- a/filbertwick/harness/network.cc
+++ b/filbertwick/harness/network.cc
@@ -76,13 +76,25 @@
 
 Network::LinkState& Network::State(const InstanceName& from,
                                    const InstanceName& to) {
-  LinkState& state = links_[{from, to}];
+  const size_t row = NumberOf(from);
+  const size_t column = NumberOf(to);
+  if (row >= links_.size()) {
+    links_.resize(row + 1);
+  }
+  if (column >= links_[row].size()) {
+    links_[row].resize(column + 1);
+  }
+  LinkState& state = links_[row][column];
   if (state.latency < Duration(0)) {
     state.latency = latency_(from, to);
   }
   return state;
 }
 
+size_t Network::NumberOf(const InstanceName& name) {
+  return numbers_.emplace(name, numbers_.size()).first->second;
+}
+
 Duration Network::Delay(const LinkState& state) {
   const auto spread = static_cast<int64_t>(
       static_cast<double>(state.latency.count()) * jitter_);
--- a/filbertwick/harness/network.h
+++ b/filbertwick/harness/network.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -78,6 +78,7 @@
   };
 
   LinkState& State(const InstanceName& from, const InstanceName& to);
+  size_t NumberOf(const InstanceName& name);
   Duration Delay(const LinkState& state);
 
   EventLoop& loop_;
@@ -87,7 +88,9 @@
   Disturbance disturbance_;
   Filter filter_;
   std::map<Link, CutLink> cuts_;
-  std::map<Link, LinkState> links_;
+  /// Number of each instance seen so far, and the links between them.
+  std::unordered_map<InstanceName, size_t> numbers_;
+  std::vector<std::vector<LinkState>> links_;
 };
 
 }  // namespace filbertwick::harness
