--- a/filbertwick/core/policy/policy_settings.h
+++ b/filbertwick/core/policy/policy_settings.h
@@ -26,6 +26,9 @@
   uint32_t bulk_every = 10;
 };
 
+/// Which tasks may wait at a sidecar beyond the free slots known of.
+enum class QueueUse : uint8_t { kNone, kUrgent, kAll };
+
 /// Choice of the upstream for a task.
 struct PlacementSettings {
   /// Waits that differ by less count as equal.
@@ -34,12 +37,63 @@
   bool prefer_own_zone = true;
   /// Chance that another entry has taken one free slot unseen.
   double unseen_share = 0.05;
+  /// Tasks that may take waiting places at sidecars.
+  QueueUse queue_use = QueueUse::kUrgent;
   /// Measured run times of single upstreams count.
   bool use_run_time = true;
   /// An upstream whose tasks run this many times longer than usual is slow.
   double slow_ratio = 1.5;
 };
 
+/// Sharing of upstreams between entries.
+struct SharingSettings {
+  /// Share of all slots that is reserved, in equal parts for each entry, so
+  /// that one entry's long job does not keep another's short one waiting.
+  double reserved_share = 0.1;
+};
+
+/// Setting upstreams aside that fail more than the others.
+struct EjectionSettings {
+  bool enabled = true;
+  /// Share of failures that an upstream is tested for.
+  double failure_share = 0.5;
+  /// Share of failures assumed of the other upstreams at least.
+  double usual_floor = 0.01;
+  /// Logarithm of the likelihood ratio that ejects.
+  double evidence = 11.0;
+  /// Largest share of a service's upstreams that may be ejected.
+  double largest_share = 0.2;
+  /// Time to the first probe; doubles with each that fails.
+  Duration first_probe = std::chrono::seconds(5);
+  Duration longest_probe = std::chrono::minutes(5);
+  /// Expected wait added to a suspect, for evidence enough to eject it.
+  Duration suspicion_wait = std::chrono::seconds(1);
+};
+
+/// Further starts of repeatable requests.
+struct RetrySettings {
+  /// Retries for each first send.
+  double share = 0.1;
+  /// Most retries that may be saved up.
+  double stock = 20.0;
+};
+
+/// Which jobs are taken in.
+struct AdmissionSettings {
+  /// Jobs that would end past their deadline are refused.
+  bool use_deadline = true;
+  /// Share of the deadline that a job may take by the estimate.
+  double deadline_share = 0.8;
+};
+
+/// Taking tasks back that wait behind stragglers.
+struct WithdrawalSettings {
+  bool enabled = true;
+  /// Time that a task waits at a sidecar before it is taken back for a slot
+  /// that is free elsewhere.
+  Duration patience = std::chrono::milliseconds(50);
+};
+
 /// Tunables of the policy; each mechanism can be switched off to measure it.
 struct PolicySettings {
   /// Zone of the entry itself, preferred while waits are equal.
@@ -48,11 +102,21 @@
   uint64_t max_waiting_tasks = 200'000;
   /// Entries that share the upstreams of a service, this one included.
   uint32_t sharing_entries = 1;
+  /// Number of this entry among them, from 0; each has another.
+  uint32_t entry_number = 0;
   /// A job of an urgent service is urgent itself when its caller waits at most
   /// this long; else it counts as bulk.
-  Duration urgent_deadline = std::chrono::seconds(5);
+  Duration urgent_deadline = std::chrono::seconds(15);
   QueueSettings queue;
   PlacementSettings placement;
+  SharingSettings sharing;
+  EjectionSettings ejection;
+  RetrySettings retry;
+  AdmissionSettings admission;
+  WithdrawalSettings withdrawal;
+  /// New upstreams and those of a zone that came back get one task more for
+  /// each that succeeds; else all their slots at once.
+  bool slow_start = true;
 };
 
 }  // namespace filbertwick::core::policy
