--- a/filbertwick/net/caller_api.cc
+++ b/filbertwick/net/caller_api.cc
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 #include <sodium.h>
 
-#include <charconv>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -11,7 +10,6 @@
 #include "filbertwick/net/change_codec.h"
 #include "filbertwick/net/job_codec.h"
 #include "filbertwick/net/json_response.h"
-#include "filbertwick/net/target.h"
 
 namespace filbertwick::net {
 namespace {
@@ -23,16 +21,6 @@
          sodium_memcmp(given.data(), expected.data(), expected.size()) == 0;
 }
 
-std::optional<wire::LogOffset> ParseOffset(std::string_view text) {
-  wire::LogOffset offset = 0;
-  const char* const end = text.data() + text.size();
-  const auto [rest, ec] = std::from_chars(text.data(), end, offset);
-  if (text.empty() || ec != std::errc() || rest != end) {
-    return std::nullopt;
-  }
-  return offset;
-}
-
 http::Response MethodRefusal(std::string_view allowed) {
   http::Response response =
       ErrorResponse(405, fmt::format("allowed here: {}", allowed));
@@ -57,12 +45,8 @@
 
   void Handle(const http::Request& request, const http::Responder& respond) {
     requests_.Add();
-    const auto target = ParseTarget(request.target);
-    if (!target.ok()) {
-      Refuse(respond, ErrorResponse(400, MessageOf(target.status())));
-      return;
-    }
-    const Call call{request, *target, respond};
+    const auto target = http::Target::Parse(request.target);
+    const Call call{request, target, respond};
     static constexpr Step kSteps[] = {&Impl::TakePage, &Impl::TakeJob,
                                       &Impl::TakeChange, &Impl::TakeAudit};
     for (const Step step : kSteps) {
@@ -99,7 +83,7 @@
   /// One request on its way through the steps.
   struct Call {
     const http::Request& request;
-    const Target& target;
+    const http::Target& target;
     const http::Responder& respond;
   };
 
@@ -117,13 +101,14 @@
   }
 
   bool TakeJob(const Call& call) {
-    const auto& segments = call.target.segments;
+    const auto& segments = call.target.segments();
     const bool explain = segments.size() == 4 && segments[3] == "explain";
-    if (segments.size() < 3 || segments[0] != "v1" || segments[1] != "jobs" ||
+    if (segments.size() < 2 || segments[0] != "v1" || segments[1] != "jobs" ||
         (segments.size() > 3 && !explain)) {
       return false;
     }
-    const auto id = ParseJobId(segments[2]);
+    const auto id =
+        ParseJobId(segments.size() == 2 ? std::string_view() : segments[2]);
     if (!id.ok()) {
       // No submission under such an id was ever taken.
       Refuse(call.respond,
@@ -165,7 +150,7 @@
   }
 
   bool TakeChange(const Call& call) {
-    const auto& segments = call.target.segments;
+    const auto& segments = call.target.segments();
     if (segments.size() != 2 || segments[0] != "v1" ||
         segments[1] != "changes") {
       return false;
@@ -191,7 +176,7 @@
   }
 
   bool TakeAudit(const Call& call) {
-    const auto& segments = call.target.segments;
+    const auto& segments = call.target.segments();
     if (segments.size() != 2 || segments[0] != "v1" || segments[1] != "audit") {
       return false;
     }
@@ -199,14 +184,12 @@
       Refuse(call.respond, MethodRefusal("GET"));
       return true;
     }
-    const auto it = call.target.query.find("since");
-    const auto since =
-        it == call.target.query.end() ? 0 : ParseOffset(it->second);
-    if (!since) {
+    const auto since = call.target.FindNumber("since");
+    if (!since && call.target.Find("since")) {
       Refuse(call.respond, ErrorResponse(400, "since is an offset"));
       return true;
     }
-    call.respond(FormatAudit(hooks_.read_audit(*since)));
+    call.respond(FormatAudit(hooks_.read_audit(since.value_or(0))));
     return true;
   }
 
--- a/filbertwick/net/job_codec.cc
+++ b/filbertwick/net/job_codec.cc
@@ -12,6 +12,7 @@
 #include "filbertwick/json/object_reader.h"
 #include "filbertwick/json/text_writer.h"
 #include "filbertwick/net/json_response.h"
+#include "filbertwick/net/percent.h"
 
 namespace filbertwick::net {
 namespace {
@@ -31,6 +32,10 @@
   return true;
 }
 
+bool IsControl(char c) {
+  return static_cast<unsigned char>(c) < ' ' || c == '\x7f';
+}
+
 std::string EncodeBase64(std::string_view bytes) {
   constexpr int kVariant = sodium_base64_VARIANT_ORIGINAL;
   std::string text(sodium_base64_encoded_len(bytes.size(), kVariant), '\0');
@@ -103,18 +108,16 @@
 
 }  // namespace
 
-absl::StatusOr<JobId> ParseJobId(std::string_view text) {
-  const bool printable = std::ranges::none_of(text, [](char c) {
-    return static_cast<unsigned char>(c) < ' ' || c == '\x7f';
-  });
-  if (text.empty() || text.size() > kMaxJobIdBytes || !printable ||
-      !IsUtf8(text)) {
+absl::StatusOr<JobId> ParseJobId(std::string_view segment) {
+  auto text = PercentDecode(segment);
+  if (!text || text->empty() || text->size() > kMaxJobIdBytes ||
+      std::ranges::any_of(*text, IsControl) || !IsUtf8(*text)) {
     return absl::InvalidArgumentError(
         fmt::format("a job id has 1 to {} bytes of UTF-8 without control "
                     "characters",
                     kMaxJobIdBytes));
   }
-  return JobId(text);
+  return JobId(*std::move(text));
 }
 
 absl::StatusOr<wire::JobSpec> ParseJob(const JobId& id, std::string_view body) {
--- a/filbertwick/net/target.cc
+++ b/filbertwick/net/percent.cc
@@ -1,13 +1,10 @@
-#include "filbertwick/net/target.h"
+#include "filbertwick/net/percent.h"
 
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <boost/algorithm/string/classification.hpp>
-#include <boost/algorithm/string/split.hpp>
 #include <charconv>
 #include <iterator>
-#include <optional>
+#include <system_error>
 
 namespace filbertwick::net {
 namespace {
@@ -27,6 +24,8 @@
   return static_cast<char>(value);
 }
 
+}  // namespace
+
 std::optional<std::string> PercentDecode(std::string_view text) {
   std::string decoded;
   decoded.reserve(text.size());
@@ -45,44 +44,6 @@
   return decoded;
 }
 
-std::vector<std::string> Split(std::string_view text, char separator) {
-  std::vector<std::string> parts;
-  boost::split(parts, text, [=](char c) { return c == separator; });
-  return parts;
-}
-
-}  // namespace
-
-absl::StatusOr<Target> ParseTarget(std::string_view text) {
-  const auto wrong = absl::InvalidArgumentError("the target is damaged");
-  if (!text.starts_with('/')) {
-    return wrong;
-  }
-  const size_t mark = std::min(text.find('?'), text.size());
-  Target target;
-  for (const std::string& part : Split(text.substr(1, mark - 1), '/')) {
-    auto segment = PercentDecode(part);
-    if (!segment) {
-      return wrong;
-    }
-    target.segments.push_back(*std::move(segment));
-  }
-  if (mark + 1 >= text.size()) {
-    return target;
-  }
-  for (const std::string& part : Split(text.substr(mark + 1), '&')) {
-    const size_t equals = std::min(part.find('='), part.size());
-    auto key = PercentDecode(std::string_view(part).substr(0, equals));
-    auto value = PercentDecode(
-        std::string_view(part).substr(std::min(equals + 1, part.size())));
-    if (!key || !value) {
-      return wrong;
-    }
-    target.query[*std::move(key)] = *std::move(value);
-  }
-  return target;
-}
-
 std::string PercentEncode(std::string_view text) {
   std::string encoded;
   for (const char c : text) {
--- a/filbertwick/net/status_pages.cc
+++ b/filbertwick/net/status_pages.cc
@@ -84,10 +84,10 @@
       ask_view_(std::move(ask_view)),
       ready_(std::move(ready)) {}
 
-bool StatusPages::Handle(const Target& target,
+bool StatusPages::Handle(const http::Target& target,
                          const std::string& method,
                          const http::Responder& respond) const {
-  const auto& segments = target.segments;
+  const auto& segments = target.segments();
   const bool versioned = segments.size() == 2 && segments[0] == "v1";
   const bool status = versioned && segments[1] == "status";
   const bool bundle = versioned && segments[1] == "bundle";
--- a/filbertwick/net/status_pages.h
+++ b/filbertwick/net/status_pages.h
@@ -9,7 +9,7 @@
 #include "filbertwick/core/core.h"
 #include "filbertwick/http/message.h"
 #include "filbertwick/http/server.h"
-#include "filbertwick/net/target.h"
+#include "filbertwick/http/target.h"
 
 namespace filbertwick::net {
 
@@ -37,7 +37,7 @@
               std::function<bool()> ready);
 
   /// Answers a GET of one of the pages; false when the target is none.
-  bool Handle(const Target& target,
+  bool Handle(const http::Target& target,
               const std::string& method,
               const http::Responder& respond) const;
 
--- a/filbertwick/net/upstream_api.cc
+++ b/filbertwick/net/upstream_api.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <exception>
@@ -12,7 +13,7 @@
 #include "filbertwick/http/client.h"
 #include "filbertwick/net/announcement.h"
 #include "filbertwick/net/json_response.h"
-#include "filbertwick/net/target.h"
+#include "filbertwick/net/percent.h"
 
 namespace filbertwick::net {
 namespace {
@@ -25,6 +26,7 @@
 constexpr Duration kStopTimeout = std::chrono::seconds(5);
 /// Most bytes kept of an upstream's error text.
 constexpr size_t kMaxErrorBytes = 1024;
+constexpr std::string_view kAnnounceSegments[] = {"v1", "upstream"};
 constexpr std::string_view kNotRunHeader = "X-Not-Run";
 
 std::string TaskTarget(const wire::TaskKey& key, uint32_t attempt) {
@@ -76,15 +78,11 @@
         silent_(counters.Get("upstream_silences")) {}
 
   void Handle(const http::Request& request, const http::Responder& respond) {
-    const auto target = ParseTarget(request.target);
-    if (!target.ok()) {
-      respond(ErrorResponse(400, MessageOf(target.status())));
+    const auto target = http::Target::Parse(request.target);
+    if (pages_.Handle(target, request.method, respond)) {
       return;
     }
-    if (pages_.Handle(*target, request.method, respond)) {
-      return;
-    }
-    if (target->segments != std::vector<std::string>{"v1", "upstream"}) {
+    if (!std::ranges::equal(target.segments(), kAnnounceSegments)) {
       respond(ErrorResponse(404, "there is no such page"));
     } else if (request.method != "POST") {
       respond(ErrorResponse(405, "only POST is allowed here"));
