Run whole jobs through daemons over loopback sockets

daemon_test starts two entries and two sidecars in one process against a log service and executors: a job runs each task once and its answer is kept for a resubmission through the other entry, operators publish and read, and a graceful stop under load cuts no request.

--- /dev/null
+++ b/unit_tests/daemon_test.cc
@@ -0,0 +1,231 @@
+#include "daemon_fixture.h"
+
+namespace {
+
+using filbertwick::Duration;
+using filbertwick::InstanceName;
+using filbertwick::RegionName;
+using filbertwick::ServiceName;
+using filbertwick::ZoneName;
+using filbertwick::daemon::Daemon;
+using filbertwick::daemon::Platform;
+using filbertwick::daemon::Settings;
+using filbertwick::http::Response;
+namespace http = filbertwick::http;
+namespace wire = filbertwick::wire;
+
+constexpr const char* kToken = "an operator token";
+constexpr Duration kCallTimeout = std::chrono::seconds(20);
+/// A condition that never comes ends the test after this.
+constexpr std::chrono::seconds kStuck(30);
+constexpr int kTasks = 40;
+constexpr const char* kBundle = R"({
+  "version": 1, "based_on": 0,
+  "zones": [{"name": "a", "region": "north"}, {"name": "b", "region": "north"}],
+  "services": [{"name": "quote", "zones": ["a", "b"]}],
+  "teams": [{"name": "desk", "home_region": "north"}]
+})";
+
+/// One daemon of a test, with the end of its graceful stop.
+struct Node {
+  std::unique_ptr<Daemon> daemon;
+  std::atomic<int> stopped = 0;
+  std::atomic<bool> clean = false;
+};
+
+/// Two entries and two sidecars with their upstreams, in two zones.
+class Deployment {
+ public:
+  Deployment() {
+    for (const char* zone : {"a", "b"}) {
+      Start(std::string("entry-") + zone, zone, wire::Role::kEntry);
+      Node& sidecar =
+          Start(std::string("sidecar-") + zone, zone, wire::Role::kSidecar);
+      const auto port = platform_.AddExecutor(std::chrono::milliseconds(5));
+      const Response response =
+          Call(sidecar, "POST", "/v1/upstream",
+               fmt::format(R"({{"slots":8,"port":{}}})", port));
+      cr_assert_eq(response.status, 200);
+    }
+    Publish();
+    for (auto& [name, node] : nodes_) {
+      Await([&] { return node.daemon->ready(); });
+    }
+  }
+
+  Node& node(const char* name) { return nodes_.at(name); }
+  Platform& platform() { return platform_; }
+
+  static Response Call(const Node& node,
+                       const char* method,
+                       const std::string& target,
+                       const std::string& body = "") {
+    http::ClientSettings settings;
+    settings.port = node.daemon->info().address.http_port;
+    http::Request request;
+    request.method = method;
+    request.target = target;
+    request.headers = {{"Authorization", std::string("Bearer ") + kToken}};
+    request.body = body;
+    auto response = http::CallOnce(settings, std::move(request), kCallTimeout);
+    cr_assert(response.ok(), "%s %s: %s", method, target.c_str(),
+              response.status().ToString().c_str());
+    return *std::move(response);
+  }
+
+  template <typename Condition>
+  static void Await(Condition done) {
+    const auto end = std::chrono::steady_clock::now() + kStuck;
+    while (!done()) {
+      cr_assert(std::chrono::steady_clock::now() < end, "the run is stuck");
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+  }
+
+ private:
+  Node& Start(const std::string& name, const char* zone, wire::Role role) {
+    Settings settings;
+    settings.node.info.name = InstanceName(name);
+    settings.node.info.role = role;
+    settings.node.info.region = RegionName("north");
+    settings.node.info.zone = ZoneName(zone);
+    settings.node.info.address.host = "127.0.0.1";
+    settings.policy.own_zone = ZoneName(zone);
+    if (role == wire::Role::kSidecar) {
+      settings.node.info.service = ServiceName("quote");
+    }
+    settings.log.port = platform_.log_port();
+    settings.peer_secret = std::string(32, 's');
+    settings.operator_token = kToken;
+    settings.stop_deadline = std::chrono::seconds(20);
+    settings.announce_timeout = std::chrono::minutes(10);
+    Node& node = nodes_[name];
+    auto daemon = Daemon::Create(
+        settings, [](std::string_view) {},
+        [&node](bool clean) {
+          node.clean = clean;
+          ++node.stopped;
+        });
+    cr_assert(daemon.ok(), "%s", daemon.status().ToString().c_str());
+    node.daemon = *std::move(daemon);
+    return node;
+  }
+
+  void Publish() {
+    std::string text = kBundle;
+    std::erase(text, '\n');
+    std::string escaped;
+    for (const char c : text) {
+      escaped += c == '"' ? "\\\"" : std::string(1, c);
+    }
+    const Response response =
+        Call(node("entry-a"), "POST", "/v1/changes",
+             R"({"change":"c1","author":"ann","publish":)"
+             R"({"version":1,"based_on":0,"text":")" +
+                 escaped + "\"}}");
+    cr_assert_eq(response.status, 200, "%s", response.body.c_str());
+  }
+
+  Platform platform_;
+  std::map<std::string, Node, std::less<>> nodes_;
+};
+
+std::string MakeJob(int tasks) {
+  std::string body =
+      R"({"service":"quote","team":"desk","deadline_ms":15000,"tasks":[)";
+  for (int n = 0; n < tasks; ++n) {
+    body += fmt::format("{}\"task {}\"", n == 0 ? "" : ",", n);
+  }
+  return body + "]}";
+}
+
+bool Contains(const std::string& text, std::string_view part) {
+  return text.find(part) != std::string::npos;
+}
+
+Test(daemon, a_job_runs_once_and_its_answer_is_kept) {
+  Deployment deployment;
+  const Node& a = deployment.node("entry-a");
+  const Node& b = deployment.node("entry-b");
+  for (int job = 0; job < 4; ++job) {
+    const std::string target = fmt::format("/v1/jobs/job-{}", job);
+    const Response first =
+        Deployment::Call(a, "PUT", target, MakeJob(kTasks));
+    cr_assert_eq(first.status, 200, "%s", first.body.c_str());
+    cr_assert(Contains(first.body, R"("outcome":"complete")"));
+    size_t place = 0;
+    for (int n = 0; n < kTasks; ++n) {
+      place = first.body.find(fmt::format("\"did task {}\"", n), place);
+      cr_assert(place != std::string::npos, "task %d", n);
+    }
+    // Resubmitted and fetched through the other entry: the same answer.
+    const Response again =
+        Deployment::Call(b, "PUT", target, MakeJob(kTasks));
+    cr_assert(again.body == first.body);
+    cr_assert(Deployment::Call(b, "GET", target).body == first.body);
+    // The same key with another body is refused.
+    const Response clash = Deployment::Call(b, "PUT", target, MakeJob(2));
+    cr_assert_eq(clash.status, 409, "%s", clash.body.c_str());
+  }
+  const auto starts = deployment.platform().starts();
+  cr_assert_eq(starts.size(), 4 * kTasks);
+  cr_assert(std::ranges::all_of(
+      starts, [](const auto& start) { return start.second == 1; }));
+}
+
+Test(daemon, operators_see_status_audit_and_bundle) {
+  Deployment deployment;
+  const Node& a = deployment.node("entry-a");
+  cr_assert(Contains(Deployment::Call(a, "GET", "/v1/status").body,
+                     R"("bundle_version":1)"));
+  cr_assert(Contains(Deployment::Call(a, "GET", "/v1/audit?since=0").body,
+                     R"("author":"ann","change":"c1")"));
+  cr_assert(Contains(Deployment::Call(a, "GET", "/v1/bundle").body, "quote"));
+  cr_assert(Contains(Deployment::Call(a, "GET", "/metrics").body,
+                     "peer_messages_received"));
+  cr_assert_eq(
+      Deployment::Call(a, "PUT", "/v1/jobs/x",
+                       R"({"service":"none","team":"desk","tasks":[1]})")
+          .status,
+      404);
+  // A publication that lost the race names the winner.
+  const Response late = Deployment::Call(
+      deployment.node("entry-b"), "POST", "/v1/changes",
+      R"({"change":"c2","author":"bob","publish":)"
+      R"({"version":2,"based_on":0,"text":"{}"}})");
+  cr_assert_eq(late.status, 409, "%s", late.body.c_str());
+}
+
+Test(daemon, a_graceful_stop_cuts_no_request) {
+  Deployment deployment;
+  constexpr int kJobs = 12;
+  std::atomic<int> complete = 0;
+  std::vector<std::thread> callers;
+  for (int n = 0; n < kJobs; ++n) {
+    callers.emplace_back([&, n] {
+      const Response response =
+          Deployment::Call(deployment.node("entry-a"), "PUT",
+                           fmt::format("/v1/jobs/stop-{}", n), MakeJob(kTasks));
+      complete += Contains(response.body, R"("outcome":"complete")") ? 1 : 0;
+    });
+  }
+  Deployment::Await(
+      [&] { return deployment.platform().starts().size() > kTasks; });
+  Node& stopping = deployment.node("entry-a");
+  stopping.daemon->Stop();
+  cr_assert_not(stopping.daemon->ready());
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  Deployment::Await([&] { return stopping.stopped > 0; });
+  cr_assert(stopping.clean);
+  cr_assert_eq(stopping.stopped, 1);
+  cr_assert_eq(complete, kJobs);
+  // The other entry serves on.
+  const Response after = Deployment::Call(deployment.node("entry-b"), "PUT",
+                                          "/v1/jobs/after", MakeJob(3));
+  cr_assert(Contains(after.body, R"("outcome":"complete")"), "%s",
+            after.body.c_str());
+}
+
+}  // namespace
