--- a/filbertwick/core/state/ownership.cc
+++ b/filbertwick/core/state/ownership.cc
@@ -7,6 +7,12 @@
 #include "filbertwick/base/hash.h"
 
 namespace filbertwick::core {
+namespace {
+
+/// Time between two looks for owners that are gone.
+constexpr Duration kLookInterval = std::chrono::milliseconds(50);
+
+}  // namespace
 
 Ownership::Ownership(Member& member, OwnershipHooks hooks)
     : member_(member), hooks_(std::move(hooks)) {}
@@ -18,7 +24,8 @@
   }
   DropLost();
   AdoptReset();
-  if (takes_) {
+  if (takes_ && now.monotonic >= look_at_) {
+    look_at_ = now.monotonic + kLookInterval;
     TakeOver(now);
   }
   AdvanceFences(now);
@@ -39,6 +46,11 @@
 
 void Ownership::AdoptReset() {
   const RegionState* region = member_.knowledge().region();
+  // A reset gives its epochs once; what was lost since stays lost.
+  if (adopted_ == region->formed) {
+    return;
+  }
+  adopted_ = region->formed;
   const wire::InstanceInfo& self = member_.settings().info;
   const auto former = region->formers.find(self.name);
   if (former == region->formers.end() || former->second != self.incarnation) {
@@ -71,13 +83,18 @@
     if (term.serving) {
       continue;
     }
+    const Duration wait = term.handed_over ? Duration(0) : FenceWait();
+    if (term.carried_at && now.monotonic < *term.carried_at + wait) {
+      continue;
+    }
     // The set of members may have changed since: it must be carried now too.
-    const bool carried = member_.CarriedEpoch({shard, term.epoch});
-    if (!term.carried_at && carried) {
+    if (!member_.CarriedEpoch({shard, term.epoch})) {
+      continue;
+    }
+    if (!term.carried_at) {
       term.carried_at = now.monotonic;
     }
-    const Duration wait = term.handed_over ? Duration(0) : FenceWait();
-    if (!carried || now.monotonic < *term.carried_at + wait) {
+    if (now.monotonic < *term.carried_at + wait) {
       continue;
     }
     term.serving = true;
@@ -106,6 +123,12 @@
     return !terms_.contains(shard) &&
            now - seen.at >= 2 * timing.probe_interval;
   }
+  // Most owners are heard all the time: nothing more is looked up for them.
+  const PeerView* view = member_.FindView(epoch.owner);
+  if (view != nullptr && view->replaced_at <= seen.at &&
+      now - view->heard_at < timing.takeover_silence) {
+    return false;
+  }
   const std::vector<InstanceName> order =
       member_.control().Successors(self.region, shard, epoch.owner);
   const auto it = std::ranges::find(order, self.name);
@@ -113,7 +136,6 @@
     return false;
   }
   const Duration stagger = timing.takeover_stagger * (it - order.begin());
-  const PeerView* view = member_.FindView(epoch.owner);
   Instant silent_since = std::max(seen.at, member_.resumed_at());
   if (view == nullptr) {
     return now - silent_since >= timing.probe_interval + stagger;
@@ -133,7 +155,7 @@
   const InstanceName& self = member_.settings().info.name;
   std::vector<wire::ShardEpoch> taken;
   for (wire::ShardId shard = 0; shard < wire::kShardsPerRegion; ++shard) {
-    const wire::Epoch epoch = member_.knowledge().EpochOf(shard);
+    const wire::Epoch& epoch = member_.knowledge().EpochOf(shard);
     if (terms_.contains(shard) || !OwnerIsGone(now.monotonic, shard, epoch)) {
       continue;
     }
@@ -202,6 +224,12 @@
   return {keys.begin(), keys.end()};
 }
 
+bool Ownership::AwaitsCarry() const {
+  return std::ranges::any_of(
+      terms_ | std::views::values,
+      [](const ShardTerm& term) { return !term.carried_at.has_value(); });
+}
+
 uint32_t Ownership::serving() const {
   return static_cast<uint32_t>(
       std::ranges::count_if(terms_ | std::views::values, &ShardTerm::serving));
