--- a/filbertwick/platform/log_client.cc
+++ b/filbertwick/platform/log_client.cc
@@ -58,9 +58,8 @@
   const auto first = http::ParseNumber(response.FindHeader(kFirstHeader));
   const auto head = http::ParseNumber(response.FindHeader(kHeadHeader));
   if (response.status != 200 || !first || !head) {
-    return absl::UnavailableError(
-        fmt::format("the log service answered a read with status {}",
-                    response.status));
+    return absl::UnavailableError(fmt::format(
+        "the log service answered a read with status {}", response.status));
   }
   auto records = DecodeRecords(response.body);
   if (!records.ok()) {
@@ -176,8 +175,9 @@
   const auto available =
       http::ParseNumber(response.FindHeader(kAvailableHeader));
   if (!available || *available <= next_) {
-    OnDown(absl::DataLossError("the log service trimmed, but not past the "
-                               "offset that was read"));
+    OnDown(
+        absl::DataLossError("the log service trimmed, but not past the "
+                            "offset that was read"));
     return;
   }
   seeking_ = true;
@@ -267,8 +267,8 @@
 
 void LogClient::Impl::AddPending(wire::ControlRecord record) {
   // A retry of a change that still waits here needs no second record.
-  const auto it = std::ranges::find(pending_, record.change,
-                                    &wire::ControlRecord::change);
+  const auto it =
+      std::ranges::find(pending_, record.change, &wire::ControlRecord::change);
   if (it != pending_.end()) {
     *it = std::move(record);
   } else {
