Refuse for good: late copies of refused offers and requests start nothing

Cause: a doubled copy of an offer that a sidecar had refused started there later, next to the start elsewhere; an entry gave its caller a late refusal of a former owner for a job that it ran itself by then, and a second copy of a refused request was taken in. Change: a sidecar remembers every refused attempt for 2F, as it did withdrawn ones; an entry takes a refusal only from the owner that has the request now, and only when no other owner can have a copy; an owner refuses later copies of a refused request.

--- a/filbertwick/core/entry/entry_core.cc
+++ b/filbertwick/core/entry/entry_core.cc
@@ -129,8 +129,8 @@
   void OnMessage(const wire::Sender& from, wire::ForwardQuery& message) {
     router_->OnForwardQuery(now_, from, message, *effects_);
   }
-  void OnMessage(const wire::Sender&, wire::ForwardAnswer& message) {
-    router_->OnForwardAnswer(now_, message, *effects_);
+  void OnMessage(const wire::Sender& from, wire::ForwardAnswer& message) {
+    router_->OnForwardAnswer(now_, from, message, *effects_);
   }
   void OnMessage(const wire::Sender& from, wire::Handover& message) {
     const auto taken = handover_->OnHandover(now_, from, message, *effects_);
--- a/filbertwick/core/entry/job.h
+++ b/filbertwick/core/entry/job.h
@@ -47,7 +47,7 @@
   InstanceName entry;
   wire::RequestId request = 0;
 
-  friend bool operator==(const Waiter&, const Waiter&) = default;
+  friend auto operator<=>(const Waiter&, const Waiter&) = default;
 };
 
 /// Stage of an owned job.
--- a/filbertwick/core/entry/request_router.cc
+++ b/filbertwick/core/entry/request_router.cc
@@ -21,6 +21,10 @@
 constexpr Duration kQueryPatience = std::chrono::seconds(5);
 /// Time a fetch waits for a running job to end.
 constexpr Duration kFetchPatience = std::chrono::seconds(60);
+/// Time in which a late copy of a refused request is refused again.
+constexpr Duration kRefusedKept = std::chrono::seconds(30);
+/// Refusals kept for that; the oldest go first.
+constexpr size_t kMaxRefused = 20'000;
 /// Open requests of one entry; more are refused.
 constexpr size_t kMaxOpen = 100'000;
 
@@ -92,7 +96,7 @@
   const wire::Epoch& epoch = context_.member.knowledge().EpochOf(shard);
   if (context_.ownership.Serves(shard)) {
     Schedule(request, open, open.give_up);
-    open.sent_to = context_.self();
+    NoteTarget(open, context_.self());
     open.sent_epoch = epoch;
     ++open.sends;
     const Waiter waiter = {context_.self(), request};
@@ -136,7 +140,7 @@
                          Open& open,
                          Effects& effects) {
   ++open.sends;
-  open.sent_to = to;
+  NoteTarget(open, to);
   const wire::ShardId shard = ShardOf(open.id);
   if (open.is_job) {
     effects.push_back(
@@ -147,11 +151,32 @@
   }
 }
 
+void RequestRouter::NoteTarget(Open& open, const InstanceName& to) {
+  open.several |= !open.sent_to.empty() && open.sent_to != to;
+  open.sent_to = to;
+}
+
+bool RequestRouter::RefusedBefore(const Waiter& waiter,
+                                  const JobId& id,
+                                  Effects& effects) {
+  const auto it = refused_.find(waiter);
+  // A new incarnation of the entry may use a number again.
+  if (it == refused_.end() || it->second.answer.answer.id != id) {
+    return false;
+  }
+  effects.push_back(SendEffect{waiter.entry, it->second.answer});
+  return true;
+}
+
 void RequestRouter::OnForwardJob(const Now& now,
                                  const wire::Sender& from,
                                  wire::ForwardJob job,
                                  Effects& effects) {
   const Waiter waiter = {from.name, job.request};
+  // A refusal is for good: a late copy of the request changes nothing.
+  if (RefusedBefore(waiter, job.spec.id, effects)) {
+    return;
+  }
   const RegionName home = HomeOf(job.spec.team);
   const auto it = context_.member.control().instances().find(from.name);
   const bool from_elsewhere =
@@ -202,17 +227,25 @@
 }
 
 void RequestRouter::OnForwardAnswer(const Now& now,
+                                    const wire::Sender& from,
                                     const wire::ForwardAnswer& answer,
                                     Effects& effects) {
   const auto it = open_.find(answer.request);
   if (it == open_.end()) {
     return;
   }
+  Open& open = it->second;
+  const bool refused = !answer.not_owner && open.is_job &&
+                       answer.answer.outcome == wire::JobOutcome::kRefused;
+  // A refusal counts only from the owner that has the request now, and only
+  // when no other owner can have a copy of it.
+  if (refused && (from.name != open.sent_to || open.several)) {
+    return;
+  }
   if (!answer.not_owner) {
     Close(answer.request, answer, effects);
     return;
   }
-  Open& open = it->second;
   if (open.region == context_.member.settings().info.region) {
     context_.member.LearnEpoch(answer.known.shard, answer.known.epoch);
   }
@@ -230,6 +263,10 @@
                             wire::ForwardAnswer answer,
                             Effects& effects) {
   if (waiter.entry != context_.self()) {
+    if (!answer.not_owner &&
+        answer.answer.outcome == wire::JobOutcome::kRefused) {
+      KeepRefusal(now, waiter, answer);
+    }
     effects.push_back(SendEffect{waiter.entry, std::move(answer)});
     return;
   }
@@ -243,6 +280,24 @@
   }
 }
 
+void RequestRouter::KeepRefusal(const Now& now,
+                                const Waiter& waiter,
+                                const wire::ForwardAnswer& answer) {
+  const Refused kept = {answer, now.monotonic + kRefusedKept};
+  if (refused_.insert_or_assign(waiter, kept).second) {
+    refused_order_.push_back(waiter);
+  }
+  while (!refused_order_.empty()) {
+    const auto oldest = refused_.find(refused_order_.front());
+    if (refused_.size() <= kMaxRefused &&
+        oldest->second.until > now.monotonic) {
+      return;
+    }
+    refused_.erase(oldest);
+    refused_order_.pop_front();
+  }
+}
+
 void RequestRouter::Close(wire::RequestId request,
                           const wire::ForwardAnswer& answer,
                           Effects& effects) {
--- a/filbertwick/core/entry/request_router.h
+++ b/filbertwick/core/entry/request_router.h
@@ -2,6 +2,7 @@
 #define FILBERTWICK_CORE_ENTRY_REQUEST_ROUTER_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -39,6 +40,7 @@
                       Effects& effects);
   /// An owner answered.
   void OnForwardAnswer(const Now& now,
+                       const wire::Sender& from,
                        const wire::ForwardAnswer& answer,
                        Effects& effects);
   /// Gives an answer of a job owned here to the one who waits.
@@ -76,6 +78,14 @@
     wire::Epoch sent_epoch;
     /// How often it was sent.
     uint32_t sends = 0;
+    /// It was sent to more than one owner: a copy may still be on its way.
+    bool several = false;
+  };
+
+  /// A refusal that later copies of the same request get as well.
+  struct Refused {
+    wire::ForwardAnswer answer;
+    Instant until;
   };
 
   /// An open request by the time it is looked at.
@@ -106,6 +116,11 @@
   void Close(wire::RequestId request,
              const wire::ForwardAnswer& answer,
              Effects& effects);
+  void KeepRefusal(const Now& now,
+                   const Waiter& waiter,
+                   const wire::ForwardAnswer& answer);
+  void NoteTarget(Open& open, const InstanceName& to);
+  bool RefusedBefore(const Waiter& waiter, const JobId& id, Effects& effects);
   void GiveUp(wire::RequestId request, const Open& open, Effects& effects);
   RegionName HomeOf(const TeamName& team) const;
 
@@ -113,6 +128,9 @@
   JobIntake& intake_;
   std::map<wire::RequestId, Open> open_;
   std::set<Due> due_;
+  /// Refusals given to other entries, and their order of age.
+  std::map<Waiter, Refused> refused_;
+  std::deque<Waiter> refused_order_;
   /// Numbers of requests that other entries passed on; apart from callers'.
   wire::RequestId next_passed_on_ = wire::RequestId{1} << 63;
   bool route_all_ = false;
--- a/filbertwick/core/sidecar/task_runner.cc
+++ b/filbertwick/core/sidecar/task_runner.cc
@@ -84,7 +84,8 @@
                          wire::TaskOffer& offer,
                          Effects& effects) {
   if (ClashesWithLedger(offer)) {
-    Refuse(from, offer.key, offer.attempt, wire::RefusalCause::kDigestMismatch);
+    Refuse(now, from, offer.key, offer.attempt,
+           wire::RefusalCause::kDigestMismatch);
     return;
   }
   if (AnswerFromLedger(from, offer)) {
@@ -105,7 +106,7 @@
     cause = wire::RefusalCause::kFull;
   }
   if (cause != wire::RefusalCause::kNone) {
-    Refuse(from, offer.key, offer.attempt, cause);
+    Refuse(now, from, offer.key, offer.attempt, cause);
     return;
   }
   if (starts) {
@@ -167,17 +168,21 @@
     }
     const wire::RefusalCause cause = Check(now, item->offer);
     if (cause != wire::RefusalCause::kNone) {
-      Refuse(item->owner, item->offer.key, item->offer.attempt, cause);
+      Refuse(now, item->owner, item->offer.key, item->offer.attempt, cause);
       continue;
     }
     StartTask(now, item->owner, item->offer, effects);
   }
 }
 
-void TaskRunner::Refuse(const InstanceName& owner,
+void TaskRunner::Refuse(Instant now,
+                        const InstanceName& owner,
                         const wire::TaskKey& key,
                         uint32_t attempt,
                         wire::RefusalCause cause) {
+  // The word is definite: a late copy of the offer must not start any more.
+  queue_.NoteWithdrawn(key, attempt,
+                       now + 2 * member_.settings().timing.evidence_age);
   wire::TaskUpdate update;
   update.key = key;
   update.attempt = attempt;
@@ -191,15 +196,15 @@
     return Check(now, item.offer) != wire::RefusalCause::kNone;
   };
   for (const QueuedOffer& item : queue_.TakeIf(unfit)) {
-    Refuse(item.owner, item.offer.key, item.offer.attempt,
+    Refuse(now, item.owner, item.offer.key, item.offer.attempt,
            Check(now, item.offer));
   }
 }
 
-void TaskRunner::ReturnQueue(wire::RefusalCause cause) {
+void TaskRunner::ReturnQueue(Instant now, wire::RefusalCause cause) {
   for (const QueuedOffer& item :
        queue_.TakeIf([](const auto&) { return true; })) {
-    Refuse(item.owner, item.offer.key, item.offer.attempt, cause);
+    Refuse(now, item.owner, item.offer.key, item.offer.attempt, cause);
   }
 }
 
@@ -220,9 +225,8 @@
     queue_.TakeIf([&](const QueuedOffer& item) {
       return item.offer.key == task.key && item.offer.attempt <= task.attempt;
     });
-    queue_.NoteWithdrawn(task.key, task.attempt,
-                         now + 2 * member_.settings().timing.evidence_age);
-    Refuse(from.name, task.key, task.attempt, wire::RefusalCause::kWithdrawn);
+    Refuse(now, from.name, task.key, task.attempt,
+           wire::RefusalCause::kWithdrawn);
   }
 }
 
@@ -280,7 +284,7 @@
   slots_ = event.slots;
   leaving_ = event.leaving;
   if (slots_ == 0 || leaving_) {
-    ReturnQueue(wire::RefusalCause::kUpstreamGone);
+    ReturnQueue(now, wire::RefusalCause::kUpstreamGone);
     return;
   }
   StartQueued(now, effects);
@@ -293,7 +297,7 @@
     // The upstream refused it: the start is taken back.
     const LedgerEntry* entry = ledger_.Find(event.key);
     if (entry != nullptr && !entry->ended && entry->attempt == event.attempt) {
-      Refuse(entry->owner, event.key, event.attempt,
+      Refuse(now, entry->owner, event.key, event.attempt,
              wire::RefusalCause::kUpstreamGone);
       ledger_.Undo(event.key);
     }
@@ -303,9 +307,9 @@
   StartQueued(now, effects);
 }
 
-void TaskRunner::Stop(Instant, Effects&) {
+void TaskRunner::Stop(Instant now, Effects&) {
   stopping_ = true;
-  ReturnQueue(wire::RefusalCause::kStopping);
+  ReturnQueue(now, wire::RefusalCause::kStopping);
 }
 
 void TaskRunner::Tick(Instant now, Effects& effects) {
--- a/filbertwick/core/sidecar/task_runner.h
+++ b/filbertwick/core/sidecar/task_runner.h
@@ -70,12 +70,13 @@
                  wire::TaskOffer& offer,
                  Effects& effects);
   void StartQueued(Instant now, Effects& effects);
-  void Refuse(const InstanceName& owner,
+  void Refuse(Instant now,
+              const InstanceName& owner,
               const wire::TaskKey& key,
               uint32_t attempt,
               wire::RefusalCause cause);
   void RefuseUnfit(Instant now);
-  void ReturnQueue(wire::RefusalCause cause);
+  void ReturnQueue(Instant now, wire::RefusalCause cause);
 
   Member& member_;
   Outbox& outbox_;
