Add the log client and the stand-ins of the log service and the executor

The log client reads by long poll and groups appends that wait, one request at a time. After trimming it starts at the newest checkpoint that counts: one whose offset is its own place. The protocol is in platform/log_protocol.h.

The stand-ins run over the HTTP server, in a process or as programs of their own (standin_log, standin_executor), with switches for outages, slow and lost answers, trimming, failing, hanging, leaving and dying. A response of status 0 closes its connection instead, which is how an answer is lost.

--- a/bench/bench_faults.cc
+++ b/bench/bench_faults.cc
@@ -142,8 +142,8 @@
   FaultTrialSettings settings;
   auto deployment = FindDeployment(options.deployment);
   if (!deployment.ok()) {
-    fmt::print(stderr, "bench_faults: {}\n{}", std::string(deployment.status().message()),
-               kUsage);
+    fmt::print(stderr, "bench_faults: {}\n{}",
+               std::string(deployment.status().message()), kUsage);
     std::exit(2);
   }
   settings.deployment = *deployment;
@@ -252,7 +252,8 @@
     settings.seed = seed;
     const auto result = RunFaultTrial(settings);
     if (!result.ok()) {
-      fmt::print(stderr, "bench_faults: {}\n", std::string(result.status().message()));
+      fmt::print(stderr, "bench_faults: {}\n",
+                 std::string(result.status().message()));
       return 2;
     }
     Add(*result, totals);
--- a/filbertwick/http/message.h
+++ b/filbertwick/http/message.h
@@ -28,6 +28,10 @@
   std::string_view FindHeader(std::string_view name) const;
 };
 
+/// Status of a response that closes the connection without sending anything:
+/// for stand-ins that lose their answers.
+inline constexpr int kNoResponse = 0;
+
 /// A response, as received or to be sent.
 struct Response {
   int status = 200;
--- a/filbertwick/http/server.cc
+++ b/filbertwick/http/server.cc
@@ -344,6 +344,10 @@
 
 void Server::Impl::Connection::Write(Response response) {
   state_ = State::kWriting;
+  if (response.status == kNoResponse) {
+    Close();
+    return;
+  }
   deadline_ = MonotonicClock::now() + owner_.settings_.idle_timeout;
   response_ = std::move(response);
   keep_alive_ =
--- /dev/null
+++ b/filbertwick/http/target.cc
@@ -0,0 +1,54 @@
+#include "filbertwick/http/target.h"
+
+#include <charconv>
+
+namespace filbertwick::http {
+namespace {
+
+/// Takes the text up to the next mark off the front of `rest`.
+std::string_view TakePart(std::string_view& rest, char mark) {
+  const size_t end = rest.find(mark);
+  const std::string_view part = rest.substr(0, end);
+  rest = end == rest.npos ? std::string_view() : rest.substr(end + 1);
+  return part;
+}
+
+}  // namespace
+
+std::optional<uint64_t> ParseNumber(std::string_view text) {
+  uint64_t number = 0;
+  const char* const end = text.data() + text.size();
+  const auto [it, ec] = std::from_chars(text.data(), end, number);
+  return ec == std::errc() && it == end ? std::optional(number) : std::nullopt;
+}
+
+Target Target::Parse(std::string_view text) {
+  Target target;
+  target.query_ = text;
+  std::string_view path = TakePart(target.query_, '?');
+  while (!path.empty()) {
+    const std::string_view segment = TakePart(path, '/');
+    if (!segment.empty()) {
+      target.segments_.push_back(segment);
+    }
+  }
+  return target;
+}
+
+std::optional<std::string_view> Target::Find(std::string_view name) const {
+  std::string_view rest = query_;
+  while (!rest.empty()) {
+    std::string_view value = TakePart(rest, '&');
+    if (TakePart(value, '=') == name) {
+      return value;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<uint64_t> Target::FindNumber(std::string_view name) const {
+  const auto value = Find(name);
+  return value ? ParseNumber(*value) : std::nullopt;
+}
+
+}  // namespace filbertwick::http
--- /dev/null
+++ b/filbertwick/platform/log_client.cc
@@ -0,0 +1,354 @@
+#include "filbertwick/platform/log_client.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <exception>
+#include <iterator>
+#include <optional>
+#include <random>
+#include <utility>
+#include <variant>
+
+#include "filbertwick/http/client.h"
+#include "filbertwick/http/target.h"
+#include "filbertwick/platform/log_protocol.h"
+#include "filbertwick/wire/codec.h"
+#include "filbertwick/wire/record_batch.h"
+
+namespace filbertwick::platform {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Most records of one append request; the rest waits for the next.
+constexpr size_t kMaxRecordsPerAppend = 256;
+
+http::ClientSettings ToClientSettings(const LogClientSettings& settings) {
+  http::ClientSettings client;
+  client.host = settings.host;
+  client.port = settings.port;
+  // One for the long poll, one for appends.
+  client.max_connections = 2;
+  return client;
+}
+
+absl::StatusOr<std::vector<wire::ControlRecord>> DecodeRecords(
+    std::string_view bytes) {
+  const auto batch = wire::DecodeBatch(bytes);
+  if (!batch.ok()) {
+    return batch.status();
+  }
+  std::vector<wire::ControlRecord> records;
+  for (const std::string& record : *batch) {
+    auto decoded = wire::DecodeRecord(record);
+    if (!decoded.ok()) {
+      return decoded.status();
+    }
+    records.push_back(*std::move(decoded));
+  }
+  return records;
+}
+
+/// The batch of a successful read, or why the response is no such batch.
+absl::StatusOr<LogBatch> ToBatch(const http::Response& response,
+                                 wire::LogOffset from) {
+  const auto first = http::ParseNumber(response.FindHeader(kFirstHeader));
+  const auto head = http::ParseNumber(response.FindHeader(kHeadHeader));
+  if (response.status != 200 || !first || !head) {
+    return absl::UnavailableError(fmt::format(
+        "the log service answered a read with status {}", response.status));
+  }
+  auto records = DecodeRecords(response.body);
+  if (!records.ok()) {
+    return records.status();
+  }
+  if (*first != from || *head < from + records->size()) {
+    return absl::DataLossError(
+        fmt::format("the log service gave records from {} of {} when asked "
+                    "from {}",
+                    *first, *head, from));
+  }
+  return LogBatch{*first, *std::move(records), *head};
+}
+
+/// Index of the newest checkpoint that counts; nothing when there is none.
+std::optional<size_t> FindCheckpoint(const LogBatch& batch) {
+  for (size_t i = batch.records.size(); i-- > 0;) {
+    const auto* it = std::get_if<wire::Checkpoint>(&batch.records[i].body);
+    if (it && it->offset == batch.first + i) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+/// Reads and appends on the thread of the context.
+class LogClient::Impl : public std::enable_shared_from_this<LogClient::Impl> {
+ public:
+  Impl(asio::io_context& context,
+       LogClientSettings settings,
+       wire::LogOffset from,
+       LogClientHooks hooks)
+      : context_(context),
+        settings_(std::move(settings)),
+        hooks_(std::move(hooks)),
+        timer_(context),
+        random_(settings_.seed),
+        next_(from) {}
+
+  void Start();
+  void Append(wire::ControlRecord record);
+  /// Ends everything; called on the context's thread, no hook runs after it.
+  void Shutdown();
+
+ private:
+  void Read();
+  void OnRead(const http::CallResult& result);
+  void OnBatch(LogBatch batch);
+  void OnTrimmed(const http::Response& response);
+  /// Keeps records from the newest checkpoint on until the head is reached.
+  void Seek(LogBatch batch);
+  void Deliver(LogBatch batch);
+  void OnDown(const absl::Status& status);
+  Duration NextPause();
+  void AddPending(wire::ControlRecord record);
+  void SendPending();
+  void OnAppend(const http::CallResult& result);
+
+  asio::io_context& context_;
+  const LogClientSettings settings_;
+  const LogClientHooks hooks_;
+  asio::steady_timer timer_;
+  std::mt19937_64 random_;
+  std::unique_ptr<http::Client> client_;
+  std::atomic<bool> abandoned_ = false;
+
+  /// Offset of the next read.
+  wire::LogOffset next_;
+  /// The head was reported since the last failure.
+  bool at_head_ = false;
+  Duration pause_{0};
+  /// Records were trimmed before they were read: a checkpoint is sought.
+  bool seeking_ = false;
+  /// While seeking: records from the newest checkpoint found; may be empty.
+  LogBatch found_;
+
+  std::vector<wire::ControlRecord> pending_;
+  /// Changes of the append under way; empty when none is.
+  std::vector<ChangeId> sent_;
+};
+
+void LogClient::Impl::Start() {
+  if (abandoned_) {
+    return;
+  }
+  client_ = http::Client::Create(context_, ToClientSettings(settings_));
+  Read();
+  SendPending();
+}
+
+void LogClient::Impl::Read() {
+  const Duration poll = at_head_ ? settings_.poll : Duration(0);
+  http::Request request;
+  request.target = FormatReadTarget(settings_.stream, next_, poll);
+  client_->Call(std::move(request), poll + settings_.timeout,
+                [this](const http::CallResult& result) { OnRead(result); });
+}
+
+void LogClient::Impl::OnRead(const http::CallResult& result) {
+  const auto self = shared_from_this();
+  if (!result.response.ok()) {
+    OnDown(result.response.status());
+    return;
+  }
+  if (result.response->status == kTrimmedStatus) {
+    OnTrimmed(*result.response);
+    return;
+  }
+  auto batch = ToBatch(*result.response, next_);
+  if (!batch.ok()) {
+    OnDown(batch.status());
+    return;
+  }
+  OnBatch(*std::move(batch));
+}
+
+void LogClient::Impl::OnTrimmed(const http::Response& response) {
+  const auto available =
+      http::ParseNumber(response.FindHeader(kAvailableHeader));
+  if (!available || *available <= next_) {
+    OnDown(
+        absl::DataLossError("the log service trimmed, but not past the "
+                            "offset that was read"));
+    return;
+  }
+  seeking_ = true;
+  found_ = LogBatch();
+  next_ = *available;
+  Read();
+}
+
+void LogClient::Impl::OnBatch(LogBatch batch) {
+  pause_ = Duration(0);
+  next_ = batch.first + batch.records.size();
+  if (seeking_) {
+    Seek(std::move(batch));
+  } else {
+    Deliver(std::move(batch));
+  }
+}
+
+void LogClient::Impl::Seek(LogBatch batch) {
+  if (const auto newest = FindCheckpoint(batch)) {
+    batch.records.erase(
+        batch.records.begin(),
+        batch.records.begin() + static_cast<ptrdiff_t>(*newest));
+    found_.first = batch.first + *newest;
+    found_.records = std::move(batch.records);
+  } else if (!found_.records.empty()) {
+    std::ranges::move(batch.records, std::back_inserter(found_.records));
+  }
+  if (next_ < batch.head) {
+    Read();
+    return;
+  }
+  if (found_.records.empty()) {
+    OnDown(absl::DataLossError(
+        "the log was trimmed and holds no checkpoint to start from"));
+    return;
+  }
+  seeking_ = false;
+  found_.head = batch.head;
+  Deliver(std::exchange(found_, {}));
+}
+
+void LogClient::Impl::Deliver(LogBatch batch) {
+  at_head_ = batch.records.empty();
+  if (hooks_.read && !abandoned_) {
+    hooks_.read(std::move(batch));
+  }
+  if (!abandoned_) {
+    Read();
+  }
+}
+
+void LogClient::Impl::OnDown(const absl::Status& status) {
+  at_head_ = false;
+  if (hooks_.down && !abandoned_) {
+    hooks_.down(status);
+  }
+  timer_.expires_after(NextPause());
+  timer_.async_wait([weak = weak_from_this()](const auto& ec) {
+    const auto self = weak.lock();
+    if (!ec && self && !self->abandoned_) {
+      self->Read();
+    }
+  });
+}
+
+Duration LogClient::Impl::NextPause() {
+  pause_ = std::clamp(pause_ * 2, settings_.retry_min, settings_.retry_max);
+  // Between half and all of the pause, so that clients don't march in step.
+  std::uniform_int_distribution<Duration::rep> jitter(pause_.count() / 2,
+                                                      pause_.count());
+  return Duration(jitter(random_));
+}
+
+void LogClient::Impl::Append(wire::ControlRecord record) {
+  asio::post(context_,
+             [weak = weak_from_this(), record = std::move(record)]() mutable {
+               const auto self = weak.lock();
+               if (self && !self->abandoned_) {
+                 self->AddPending(std::move(record));
+               }
+             });
+}
+
+void LogClient::Impl::AddPending(wire::ControlRecord record) {
+  // A retry of a change that still waits here needs no second record.
+  const auto it =
+      std::ranges::find(pending_, record.change, &wire::ControlRecord::change);
+  if (it != pending_.end()) {
+    *it = std::move(record);
+  } else {
+    pending_.push_back(std::move(record));
+  }
+  SendPending();
+}
+
+void LogClient::Impl::SendPending() {
+  if (!client_ || !sent_.empty() || pending_.empty()) {
+    return;
+  }
+  const size_t n = std::min(pending_.size(), kMaxRecordsPerAppend);
+  const auto end = pending_.begin() + static_cast<ptrdiff_t>(n);
+  wire::RecordBatch batch;
+  std::for_each(pending_.begin(), end, [&](const auto& record) {
+    batch.push_back(wire::EncodeRecord(record));
+    sent_.push_back(record.change);
+  });
+  pending_.erase(pending_.begin(), end);
+  http::Request request;
+  request.method = "POST";
+  request.target = FormatAppendTarget(settings_.stream);
+  request.body = wire::EncodeBatch(batch);
+  client_->Call(std::move(request), settings_.timeout,
+                [this](const http::CallResult& result) { OnAppend(result); });
+}
+
+void LogClient::Impl::OnAppend(const http::CallResult& result) {
+  const auto self = shared_from_this();
+  const auto sent = std::exchange(sent_, {});
+  const bool ok = result.response.ok() && result.response->status == 200;
+  if (!ok && hooks_.append_failed && !abandoned_) {
+    hooks_.append_failed(sent);
+  }
+  if (!abandoned_) {
+    SendPending();
+  }
+}
+
+void LogClient::Impl::Shutdown() {
+  abandoned_ = true;
+  const auto end = [self = shared_from_this()] {
+    self->timer_.cancel();
+    self->client_.reset();
+  };
+  if (context_.stopped()) {
+    end();
+  } else {
+    asio::post(context_, end);
+  }
+}
+
+LogClient::LogClient(std::shared_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+LogClient::~LogClient() {
+  try {
+    impl_->Shutdown();
+  } catch (const std::exception&) {
+    // Without memory to post the end, the context frees the rest.
+  }
+}
+
+std::unique_ptr<LogClient> LogClient::Create(asio::io_context& context,
+                                             LogClientSettings settings,
+                                             wire::LogOffset from,
+                                             LogClientHooks hooks) {
+  auto impl = std::make_shared<Impl>(context, std::move(settings), from,
+                                     std::move(hooks));
+  asio::post(context, [impl] { impl->Start(); });
+  return std::unique_ptr<LogClient>(new LogClient(std::move(impl)));
+}
+
+void LogClient::Append(wire::ControlRecord record) {
+  impl_->Append(std::move(record));
+}
+
+}  // namespace filbertwick::platform
--- /dev/null
+++ b/filbertwick/standin/log_service.cc
@@ -0,0 +1,403 @@
+#include "filbertwick/standin/log_service.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <utility>
+
+#include "filbertwick/http/server.h"
+#include "filbertwick/http/target.h"
+#include "filbertwick/platform/log_protocol.h"
+#include "filbertwick/wire/record_batch.h"
+
+namespace filbertwick::standin {
+namespace {
+
+namespace asio = boost::asio;
+using http::Request;
+using http::Responder;
+using http::Response;
+using http::Target;
+
+/// Longest time a read may wait.
+constexpr uint64_t kMaxWaitMillis = 60'000;
+
+/// Records of one stream that were not trimmed.
+struct Stream {
+  uint64_t first = 0;
+  std::deque<std::string> records;
+
+  uint64_t head() const { return first + records.size(); }
+};
+
+/// A read that waits for new records.
+struct Waiter {
+  std::string stream;
+  uint64_t from = 0;
+  Responder respond;
+  std::unique_ptr<asio::steady_timer> timer;
+};
+
+Response Plain(int status) {
+  return {status, {}, ""};
+}
+
+std::string Number(uint64_t n) {
+  return fmt::format_int(n).str();
+}
+
+}  // namespace
+
+class LogService::Impl : public std::enable_shared_from_this<LogService::Impl> {
+ public:
+  Impl(asio::io_context& context, const LogServiceSettings& settings)
+      : context_(context), settings_(settings) {}
+
+  absl::Status Listen();
+  void Shutdown();
+
+  uint16_t port() const { return server_->port(); }
+  void SetDown(bool down);
+  void SetDelay(Duration delay);
+  void LoseAnswers(uint32_t n);
+  void TrimBefore(std::string_view stream, uint64_t offset);
+  uint64_t head(std::string_view stream) const;
+  uint64_t appends() const;
+  uint64_t reads() const;
+
+ private:
+  void Handle(Request request, Responder respond);
+  /// Handles a request after the delay that is set.
+  void HandleLater(Duration delay, Request request, Responder respond);
+  void Serve(const Request& request, const Responder& respond);
+  void SetSwitches(const Target& target);
+  void Append(const std::string& stream,
+              const Request& request,
+              const Responder& respond);
+  void Read(const std::string& stream,
+            const Target& target,
+            const Responder& respond);
+  Response FormatRead(const Stream& stream, uint64_t from);
+  void Wait(Waiter waiter, Duration time);
+  void OnWaited(uint64_t waiter);
+  /// Answers the waiting reads that have something to give now.
+  void Wake();
+
+  asio::io_context& context_;
+  const LogServiceSettings settings_;
+  std::unique_ptr<http::Server> server_;
+  mutable std::mutex mutex_;
+  std::map<std::string, Stream, std::less<>> streams_;
+  std::map<uint64_t, Waiter> waiters_;
+  uint64_t last_waiter_ = 0;
+  bool down_ = false;
+  Duration delay_{0};
+  uint32_t answers_to_lose_ = 0;
+  uint64_t appends_ = 0;
+  uint64_t reads_ = 0;
+};
+
+absl::Status LogService::Impl::Listen() {
+  http::ServerSettings settings;
+  settings.host = settings_.host;
+  settings.port = settings_.port;
+  auto server = http::Server::Create(
+      context_, settings,
+      [weak = weak_from_this()](Request request, Responder respond) {
+        if (const auto self = weak.lock()) {
+          self->Handle(std::move(request), std::move(respond));
+        }
+      });
+  if (!server.ok()) {
+    return server.status();
+  }
+  server_ = *std::move(server);
+  return absl::OkStatus();
+}
+
+void LogService::Impl::Shutdown() {
+  server_.reset();
+  const std::lock_guard lock(mutex_);
+  waiters_.clear();
+}
+
+void LogService::Impl::Handle(Request request, Responder respond) {
+  const Target target = Target::Parse(request.target);
+  if (target.segments().size() == 2 && target.segments()[1] == "switches") {
+    SetSwitches(target);
+    respond(Plain(204));
+    return;
+  }
+  Duration delay{0};
+  {
+    const std::lock_guard lock(mutex_);
+    delay = delay_;
+  }
+  if (delay > Duration(0)) {
+    HandleLater(delay, std::move(request), std::move(respond));
+  } else {
+    Serve(request, respond);
+  }
+}
+
+void LogService::Impl::HandleLater(Duration delay,
+                                   Request request,
+                                   Responder respond) {
+  const auto timer = std::make_shared<asio::steady_timer>(context_, delay);
+  timer->async_wait([timer, weak = weak_from_this(),
+                     request = std::move(request),
+                     respond = std::move(respond)](const auto& ec) {
+    const auto self = weak.lock();
+    if (!ec && self) {
+      self->Serve(request, respond);
+    }
+  });
+}
+
+void LogService::Impl::Serve(const Request& request, const Responder& respond) {
+  const Target target = Target::Parse(request.target);
+  const auto& segments = target.segments();
+  const bool known = segments.size() == 4 && segments[0] == "v1" &&
+                     segments[1] == "streams" && segments[3] == "records";
+  {
+    const std::lock_guard lock(mutex_);
+    if (down_) {
+      respond(Plain(http::kNoResponse));
+      return;
+    }
+  }
+  if (!known) {
+    respond(Plain(404));
+  } else if (request.method == "POST") {
+    Append(std::string(segments[2]), request, respond);
+  } else if (request.method == "GET") {
+    Read(std::string(segments[2]), target, respond);
+  } else {
+    respond(Plain(405));
+  }
+}
+
+void LogService::Impl::SetSwitches(const Target& target) {
+  if (const auto down = target.FindNumber("down")) {
+    SetDown(*down != 0);
+  }
+  if (const auto delay = target.FindNumber("delay_ms")) {
+    SetDelay(std::chrono::milliseconds(*delay));
+  }
+  if (const auto answers = target.FindNumber("lose_answers")) {
+    LoseAnswers(static_cast<uint32_t>(*answers));
+  }
+  if (const auto offset = target.FindNumber("trim_before")) {
+    TrimBefore(target.Find("stream").value_or("control"), *offset);
+  }
+}
+
+void LogService::Impl::Append(const std::string& stream,
+                              const Request& request,
+                              const Responder& respond) {
+  auto batch = wire::DecodeBatch(request.body);
+  if (!batch.ok()) {
+    respond(Plain(400));
+    return;
+  }
+  uint64_t first = 0;
+  bool lost = false;
+  {
+    const std::lock_guard lock(mutex_);
+    Stream& kept = streams_[stream];
+    first = kept.head();
+    std::ranges::move(*batch, std::back_inserter(kept.records));
+    ++appends_;
+    lost = answers_to_lose_ > 0;
+    answers_to_lose_ -= lost ? 1 : 0;
+  }
+  respond(lost
+              ? Plain(http::kNoResponse)
+              : Response{200,
+                         {{std::string(platform::kFirstHeader), Number(first)}},
+                         ""});
+  Wake();
+}
+
+void LogService::Impl::Read(const std::string& stream,
+                            const Target& target,
+                            const Responder& respond) {
+  const auto from = target.FindNumber("from");
+  if (!from) {
+    respond(Plain(400));
+    return;
+  }
+  const uint64_t wait_ms =
+      std::min(target.FindNumber("wait_ms").value_or(0), kMaxWaitMillis);
+  Response response;
+  {
+    const std::lock_guard lock(mutex_);
+    const Stream& kept = streams_[stream];
+    response = FormatRead(kept, *from);
+    if (*from == kept.head() && wait_ms > 0) {
+      Wait({stream, *from, respond, nullptr},
+           std::chrono::milliseconds(wait_ms));
+      return;
+    }
+  }
+  respond(std::move(response));
+}
+
+Response LogService::Impl::FormatRead(const Stream& stream, uint64_t from) {
+  if (from < stream.first) {
+    return {platform::kTrimmedStatus,
+            {{std::string(platform::kAvailableHeader), Number(stream.first)}},
+            ""};
+  }
+  if (from > stream.head()) {
+    return Plain(416);
+  }
+  const auto begin =
+      stream.records.begin() + static_cast<ptrdiff_t>(from - stream.first);
+  const uint64_t n =
+      std::min<uint64_t>(stream.head() - from, settings_.max_records_per_read);
+  const wire::RecordBatch batch(begin, begin + static_cast<ptrdiff_t>(n));
+  reads_ += n > 0 ? 1 : 0;
+  return {200,
+          {{std::string(platform::kFirstHeader), Number(from)},
+           {std::string(platform::kHeadHeader), Number(stream.head())}},
+          wire::EncodeBatch(batch)};
+}
+
+void LogService::Impl::Wait(Waiter waiter, Duration time) {
+  const uint64_t id = ++last_waiter_;
+  waiter.timer = std::make_unique<asio::steady_timer>(context_, time);
+  waiter.timer->async_wait([weak = weak_from_this(), id](const auto& ec) {
+    const auto self = weak.lock();
+    if (!ec && self) {
+      self->OnWaited(id);
+    }
+  });
+  waiters_.emplace(id, std::move(waiter));
+}
+
+void LogService::Impl::OnWaited(uint64_t waiter) {
+  const std::lock_guard lock(mutex_);
+  const auto it = waiters_.find(waiter);
+  if (it != waiters_.end()) {
+    const auto& [id, waiting] = *it;
+    waiting.respond(FormatRead(streams_[waiting.stream], waiting.from));
+    waiters_.erase(it);
+  }
+}
+
+void LogService::Impl::Wake() {
+  const std::lock_guard lock(mutex_);
+  std::erase_if(waiters_, [&](const auto& item) {
+    const Waiter& waiter = item.second;
+    const Stream& stream = streams_[waiter.stream];
+    if (!down_ && waiter.from == stream.head()) {
+      return false;
+    }
+    waiter.respond(down_ ? Plain(http::kNoResponse)
+                         : FormatRead(stream, waiter.from));
+    return true;
+  });
+}
+
+void LogService::Impl::SetDown(bool down) {
+  {
+    const std::lock_guard lock(mutex_);
+    down_ = down;
+  }
+  asio::post(context_, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->Wake();
+    }
+  });
+}
+
+void LogService::Impl::SetDelay(Duration delay) {
+  const std::lock_guard lock(mutex_);
+  delay_ = delay;
+}
+
+void LogService::Impl::LoseAnswers(uint32_t n) {
+  const std::lock_guard lock(mutex_);
+  answers_to_lose_ = n;
+}
+
+void LogService::Impl::TrimBefore(std::string_view stream, uint64_t offset) {
+  const std::lock_guard lock(mutex_);
+  Stream& kept = streams_[std::string(stream)];
+  while (kept.first < offset && !kept.records.empty()) {
+    kept.records.pop_front();
+    ++kept.first;
+  }
+}
+
+uint64_t LogService::Impl::head(std::string_view stream) const {
+  const std::lock_guard lock(mutex_);
+  const auto it = streams_.find(stream);
+  return it == streams_.end() ? 0 : it->second.head();
+}
+
+uint64_t LogService::Impl::appends() const {
+  const std::lock_guard lock(mutex_);
+  return appends_;
+}
+
+uint64_t LogService::Impl::reads() const {
+  const std::lock_guard lock(mutex_);
+  return reads_;
+}
+
+LogService::LogService(std::shared_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+LogService::~LogService() {
+  impl_->Shutdown();
+}
+
+absl::StatusOr<std::unique_ptr<LogService>> LogService::Create(
+    asio::io_context& context,
+    const LogServiceSettings& settings) {
+  auto impl = std::make_shared<Impl>(context, settings);
+  if (absl::Status status = impl->Listen(); !status.ok()) {
+    return status;
+  }
+  return std::unique_ptr<LogService>(new LogService(std::move(impl)));
+}
+
+uint16_t LogService::port() const {
+  return impl_->port();
+}
+
+void LogService::SetDown(bool down) {
+  impl_->SetDown(down);
+}
+
+void LogService::SetDelay(Duration delay) {
+  impl_->SetDelay(delay);
+}
+
+void LogService::LoseAnswers(uint32_t n) {
+  impl_->LoseAnswers(n);
+}
+
+void LogService::TrimBefore(std::string_view stream, uint64_t offset) {
+  impl_->TrimBefore(stream, offset);
+}
+
+uint64_t LogService::head(std::string_view stream) const {
+  return impl_->head(stream);
+}
+
+uint64_t LogService::appends() const {
+  return impl_->appends();
+}
+
+uint64_t LogService::reads() const {
+  return impl_->reads();
+}
+
+}  // namespace filbertwick::standin
--- /dev/null
+++ b/filbertwick/standin/run.h
@@ -0,0 +1,15 @@
+#ifndef FILBERTWICK_STANDIN_RUN_H_
+#define FILBERTWICK_STANDIN_RUN_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+
+namespace filbertwick::standin {
+
+/// Prints `port N` to standard output, then runs the context until SIGTERM or
+/// SIGINT.
+void RunUntilSignal(boost::asio::io_context& context, uint16_t port);
+
+}  // namespace filbertwick::standin
+
+#endif  // FILBERTWICK_STANDIN_RUN_H_
