--- a/filbertwick/core/entry/registrar.cc
+++ b/filbertwick/core/entry/registrar.cc
@@ -94,8 +94,11 @@
     needed_since_.reset();
     return;
   }
-  if (!needed_since_) {
+  // Each generation is given its time: right after one has formed, the others
+  // have not heard of it yet.
+  if (!needed_since_ || needed_after_ != generation) {
     needed_since_ = now.monotonic;
+    needed_after_ = generation;
   }
   // Wait so that the others are heard from too, then in turn.
   if (now.monotonic < *needed_since_ + 2 * timing.evidence_age + Turn()) {
--- /dev/null
+++ b/filbertwick/daemon/decision_loop.h
@@ -0,0 +1,73 @@
+#ifndef FILBERTWICK_DAEMON_DECISION_LOOP_H_
+#define FILBERTWICK_DAEMON_DECISION_LOOP_H_
+
+#include <atomic>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <thread>
+#include <variant>
+
+#include "filbertwick/base/bounded_ring.h"
+#include "filbertwick/core/core.h"
+
+namespace filbertwick::daemon {
+
+/// Something that looks at the core on its thread.
+using CoreTask = std::function<void(const core::Core&, const core::Now&)>;
+
+/// What other threads send to the core.
+using DecisionInput = std::variant<core::Event, CoreTask>;
+
+/// Takes the effects of some events, on the core's thread. The core may be
+/// asked for addresses.
+using EffectsHook = std::function<void(const core::Core&, core::Effects&)>;
+
+/// Runs a core on a thread of its own: feeds it what other threads send and
+/// wakes it when it asks for it.
+class DecisionLoop {
+ public:
+  /// A loop that does not run yet; at most `capacity` inputs wait.
+  DecisionLoop(std::unique_ptr<core::Core> core,
+               size_t capacity,
+               EffectsHook effects);
+  /// Ends the thread.
+  ~DecisionLoop();
+  DecisionLoop(const DecisionLoop&) = delete;
+  DecisionLoop& operator=(const DecisionLoop&) = delete;
+
+  /// Adds an input, or returns false and leaves it when there is no room.
+  bool Offer(DecisionInput& input);
+  /// Adds an input and waits for room; false when the loop has ended.
+  bool Push(DecisionInput input);
+  /// Starts the thread.
+  void Start();
+  /// Refuses all later input; the thread ends soon. What waits is dropped.
+  void Close();
+  /// Waits until the thread has ended.
+  void Join();
+
+  /// What the core says of its readiness, as of a moment ago.
+  bool ready() const { return ready_.load(std::memory_order_relaxed); }
+
+ private:
+  void Run();
+  void TakeAll(std::deque<DecisionInput> inputs);
+  void Take(DecisionInput& input);
+  void Wake();
+  void Emit();
+  void RefreshReady();
+
+  std::unique_ptr<core::Core> core_;
+  BoundedRing<DecisionInput> inputs_;
+  EffectsHook effects_hook_;
+  core::Effects effects_;
+  std::atomic<bool> ready_ = false;
+  Instant next_refresh_;
+  std::thread thread_;
+};
+
+}  // namespace filbertwick::daemon
+
+#endif  // FILBERTWICK_DAEMON_DECISION_LOOP_H_
--- a/filbertwick/json/document.cc
+++ b/filbertwick/json/document.cc
@@ -79,6 +79,16 @@
 
 }  // namespace
 
+std::optional<std::string> Node::AsString() const {
+  return value_->isString() ? std::optional(value_->asString()) : std::nullopt;
+}
+
+std::string_view Node::SourceIn(std::string_view text) const {
+  const auto start = static_cast<size_t>(value_->getOffsetStart());
+  const auto limit = static_cast<size_t>(value_->getOffsetLimit());
+  return text.substr(start, limit - start);
+}
+
 void Node::Report(std::string_view text, Severity severity) const {
   state_->Report(static_cast<size_t>(value_->getOffsetStart()), path_, text,
                  severity);
