Add the operators' tool and the examples of both deployments

Operators steer by the bundle and the zones alone, from any machine. A change keeps its id over all retries, so a lost answer is asked for again safely. publish checks the step from the bundle in force, names the winner of a conflict with its author and the differences, and waits until each instance in contact knows the version; zone out waits until no task can start in the zone. Tests run the commands against scripted entries on a clock of their own.

examples/ holds bundles and settings in the sizes of both deployments; a test checks each.

Not run yet against live entries.

--- /dev/null
+++ b/filbertwick/base/version.h
@@ -0,0 +1,13 @@
+#ifndef FILBERTWICK_BASE_VERSION_H_
+#define FILBERTWICK_BASE_VERSION_H_
+
+#include <string_view>
+
+namespace filbertwick {
+
+/// Version of the product, as both programs print it.
+inline constexpr std::string_view kVersion = "0.1.0";
+
+}  // namespace filbertwick
+
+#endif  // FILBERTWICK_BASE_VERSION_H_
--- /dev/null
+++ b/filbertwick/tool/answers.cc
@@ -0,0 +1,212 @@
+#include "filbertwick/tool/answers.h"
+
+#include <absl/status/status.h>
+
+#include <chrono>
+#include <utility>
+
+#include "filbertwick/base/finding.h"
+#include "filbertwick/json/document.h"
+#include "filbertwick/json/object_reader.h"
+
+namespace filbertwick::tool {
+namespace {
+
+using json::Document;
+using json::Node;
+using json::ObjectReader;
+
+constexpr json::Range kAnyBytes = {};
+constexpr json::Range kAnySize = {};
+/// Ages above this are as good as none.
+constexpr double kMaxAgeMillis = 1e12;
+
+absl::Status AnswerError(const Document& document) {
+  return absl::InternalError("the answer can't be read: " +
+                             FormatFindings(document.findings()));
+}
+
+Document ParseAnswer(std::string_view body) {
+  return Document::Parse("answer", body, json::Comments::kForbidden);
+}
+
+/// A duration in milliseconds; negative ones stand for "none".
+Duration ReadAge(ObjectReader& reader, std::string_view name) {
+  const double millis = reader.Number(name, -1, kMaxAgeMillis);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(millis));
+}
+
+wire::InstanceInfo ReadInfo(ObjectReader& reader) {
+  wire::InstanceInfo info;
+  info.name = InstanceName(reader.String("name", kAnyBytes));
+  info.role = reader.String("role", kAnyBytes) == "sidecar"
+                  ? wire::Role::kSidecar
+                  : wire::Role::kEntry;
+  info.region = RegionName(reader.String("region", kAnyBytes, ""));
+  info.zone = ZoneName(reader.String("zone", kAnyBytes, ""));
+  info.service = ServiceName(reader.String("service", kAnyBytes, ""));
+  return info;
+}
+
+core::PeerStatus ReadPeer(const Node& node) {
+  ObjectReader reader(node);
+  core::PeerStatus peer;
+  peer.info = ReadInfo(reader);
+  peer.offset = reader.Integer<uint64_t>("offset", {});
+  peer.age = ReadAge(reader, "age_ms");
+  peer.vouches = reader.Boolean("vouches", false);
+  peer.load.slots = reader.Integer<uint32_t>("slots", {}, 0);
+  peer.load.running = reader.Integer<uint32_t>("running", {}, 0);
+  peer.load.queued = reader.Integer<uint32_t>("queued", {}, 0);
+  peer.ejected = reader.Boolean("ejected", false);
+  return peer;
+}
+
+core::ZoneStatus ReadZone(const Node& node) {
+  ObjectReader reader(node);
+  core::ZoneStatus zone;
+  zone.zone = ZoneName(reader.String("name", kAnyBytes));
+  zone.region = RegionName(reader.String("region", kAnyBytes, ""));
+  zone.out = reader.Boolean("out");
+  zone.certainly_out = reader.Boolean("certainly_out");
+  zone.running = reader.Integer<uint32_t>("running", {}, 0);
+  return zone;
+}
+
+core::AuditEffect ReadAuditLine(const Node& node) {
+  ObjectReader reader(node);
+  core::AuditEffect line;
+  line.offset = reader.Integer<uint64_t>("offset", {});
+  line.written.unix_millis = reader.Integer<int64_t>("unix_ms", {}, 0);
+  line.author = AuthorName(reader.String("author", kAnyBytes, ""));
+  line.change = ChangeId(reader.String("change", kAnyBytes, ""));
+  line.what = reader.String("what", kAnyBytes);
+  line.accepted = reader.Boolean("accepted");
+  line.why = reader.String("why", kAnyBytes, "");
+  return line;
+}
+
+}  // namespace
+
+absl::StatusOr<core::CoreStatus> ReadStatus(std::string_view body) {
+  const Document document = ParseAnswer(body);
+  if (!document.parsed()) {
+    return AnswerError(document);
+  }
+  ObjectReader reader(document.root());
+  core::CoreStatus status;
+  status.info = ReadInfo(reader);
+  status.offset = reader.Integer<uint64_t>("offset", {});
+  status.bundle_version = reader.Integer<uint64_t>("bundle_version", {});
+  status.generation = reader.Integer<uint32_t>("generation", {}, 0);
+  status.evidence_age = ReadAge(reader, "evidence_age_ms");
+  status.ready = reader.Boolean("ready", false);
+  status.stopping = reader.Boolean("stopping", false);
+  status.shards_owned = reader.Integer<uint32_t>("shards_owned", {}, 0);
+  status.shards_serving = reader.Integer<uint32_t>("shards_serving", {}, 0);
+  status.jobs_running = reader.Integer<uint64_t>("jobs_running", {}, 0);
+  status.tasks_waiting = reader.Integer<uint64_t>("tasks_waiting", {}, 0);
+  for (const Node& node : reader.Array("peers", kAnySize)) {
+    status.peers.push_back(ReadPeer(node));
+  }
+  for (const Node& node : reader.Array("zones", kAnySize)) {
+    status.zones.push_back(ReadZone(node));
+  }
+  if (!document.ok()) {
+    return AnswerError(document);
+  }
+  return status;
+}
+
+absl::StatusOr<BundleAnswer> ReadBundleAnswer(std::string_view body) {
+  const Document document = ParseAnswer(body);
+  if (!document.parsed()) {
+    return AnswerError(document);
+  }
+  ObjectReader reader(document.root());
+  BundleAnswer answer;
+  answer.version = reader.Integer<uint64_t>("version", {});
+  answer.text = reader.String("text", kAnyBytes);
+  if (!document.ok()) {
+    return AnswerError(document);
+  }
+  return answer;
+}
+
+absl::StatusOr<ChangeAnswer> ReadChangeAnswer(std::string_view body) {
+  const Document document = ParseAnswer(body);
+  if (!document.parsed()) {
+    return AnswerError(document);
+  }
+  ObjectReader reader(document.root());
+  ChangeAnswer answer;
+  answer.accepted = reader.Boolean("accepted");
+  answer.offset = reader.Integer<uint64_t>("offset", {}, 0);
+  answer.why = reader.String("why", kAnyBytes, "");
+  if (!document.ok()) {
+    return AnswerError(document);
+  }
+  return answer;
+}
+
+absl::StatusOr<std::vector<core::AuditEffect>> ReadAudit(
+    std::string_view body) {
+  const Document document = ParseAnswer(body);
+  if (!document.parsed()) {
+    return AnswerError(document);
+  }
+  ObjectReader reader(document.root());
+  std::vector<core::AuditEffect> lines;
+  for (const Node& node : reader.Array("lines", kAnySize)) {
+    lines.push_back(ReadAuditLine(node));
+  }
+  if (!document.ok()) {
+    return AnswerError(document);
+  }
+  return lines;
+}
+
+absl::StatusOr<std::vector<std::string>> ReadExplanation(
+    std::string_view body) {
+  const Document document = ParseAnswer(body);
+  if (!document.parsed()) {
+    return AnswerError(document);
+  }
+  ObjectReader reader(document.root());
+  auto lines = reader.Strings("explanation", kAnySize, kAnyBytes);
+  if (!document.ok()) {
+    return AnswerError(document);
+  }
+  return lines;
+}
+
+absl::StatusOr<JobResult> ReadJobResult(std::string_view body) {
+  const Document document = ParseAnswer(body);
+  if (!document.parsed()) {
+    return AnswerError(document);
+  }
+  ObjectReader reader(document.root());
+  JobResult result;
+  result.outcome = reader.String("outcome", kAnyBytes);
+  result.reason = reader.String("reason", kAnyBytes, "");
+  if (!document.ok()) {
+    return AnswerError(document);
+  }
+  return result;
+}
+
+std::string ReadError(std::string_view body) {
+  const Document document = ParseAnswer(body);
+  if (document.parsed()) {
+    ObjectReader reader(document.root());
+    for (const std::string_view name : {"error", "why", "reason"}) {
+      if (reader.Has(name)) {
+        return reader.String(name, kAnyBytes, "");
+      }
+    }
+  }
+  return std::string(body);
+}
+
+}  // namespace filbertwick::tool
--- /dev/null
+++ b/filbertwick/tool/command_table.cc
@@ -0,0 +1,14 @@
+#include "filbertwick/tool/command_table.h"
+
+namespace filbertwick::tool {
+
+std::span<const CommandFactory> CommandTable() {
+  static constexpr CommandFactory kTable[] = {
+      &CreateCheckCommand,   &CreateDiffCommand,   &CreatePublishCommand,
+      &CreateZoneCommand,    &CreateStatusCommand, &CreateAuditCommand,
+      &CreateExplainCommand, &CreateSubmitCommand,
+  };
+  return kTable;
+}
+
+}  // namespace filbertwick::tool
--- /dev/null
+++ b/filbertwick/tool/command_table.h
@@ -0,0 +1,29 @@
+#ifndef FILBERTWICK_TOOL_COMMAND_TABLE_H_
+#define FILBERTWICK_TOOL_COMMAND_TABLE_H_
+
+#include <memory>
+#include <span>
+
+#include "filbertwick/tool/command.h"
+
+namespace filbertwick::tool {
+
+// One factory a subcommand; each stands in the file of its command.
+std::unique_ptr<Command> CreateCheckCommand();
+std::unique_ptr<Command> CreateDiffCommand();
+std::unique_ptr<Command> CreatePublishCommand();
+std::unique_ptr<Command> CreateZoneCommand();
+std::unique_ptr<Command> CreateStatusCommand();
+std::unique_ptr<Command> CreateAuditCommand();
+std::unique_ptr<Command> CreateExplainCommand();
+std::unique_ptr<Command> CreateSubmitCommand();
+
+/// Makes one subcommand.
+using CommandFactory = std::unique_ptr<Command> (*)();
+
+/// All subcommands, in the order of the help.
+std::span<const CommandFactory> CommandTable();
+
+}  // namespace filbertwick::tool
+
+#endif  // FILBERTWICK_TOOL_COMMAND_TABLE_H_
--- /dev/null
+++ b/filbertwick/tool/spread.h
@@ -0,0 +1,50 @@
+#ifndef FILBERTWICK_TOOL_SPREAD_H_
+#define FILBERTWICK_TOOL_SPREAD_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "filbertwick/core/core.h"
+#include "filbertwick/tool/entry_client.h"
+#include "filbertwick/tool/environment.h"
+#include "filbertwick/wire/epoch.h"
+
+namespace filbertwick::tool {
+
+/// How far a change has come over the instances.
+struct Spread {
+  /// Instances in contact, the answering one included.
+  size_t in_contact = 0;
+  /// Those in contact that do not know the change yet.
+  std::vector<std::string> lagging;
+  /// Instances of record that were not heard of lately.
+  std::vector<std::string> silent;
+};
+
+/// Counts who knows the control stream up to `offset`.
+Spread MeasureSpread(const core::CoreStatus& status, wire::LogOffset offset);
+
+/// One line such as `known to 9 of 11 instances, waiting for s3, s4`.
+std::string FormatSpread(const Spread& spread);
+
+/// How a wait ended.
+enum class WaitOutcome { kDone, kTimeout };
+
+/// Looks at the newest status; what is still missing, or nothing when done.
+using Progress =
+    std::function<std::optional<std::string>(const core::CoreStatus&)>;
+
+/// Polls the status until `progress` is done or the client's deadline passes.
+/// Prints what is missing to standard error as `prefix: text` whenever it
+/// changes. An entry that can't be reached is tried again.
+WaitOutcome WaitFor(EntryClient& client,
+                    const Environment& environment,
+                    std::string_view prefix,
+                    const Progress& progress);
+
+}  // namespace filbertwick::tool
+
+#endif  // FILBERTWICK_TOOL_SPREAD_H_
--- /dev/null
+++ b/unit_tests/tool_test.cc
@@ -0,0 +1,304 @@
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include "filbertwick/base/file.h"
+#include "filbertwick/json/text_writer.h"
+#include "filbertwick/tool/command_table.h"
+#include "tool_fixture.h"
+
+namespace {
+
+using filbertwick::ReadFile;
+using filbertwick::http::Request;
+using filbertwick::http::Response;
+using filbertwick::json::Quote;
+using filbertwick::tool::Answer;
+using filbertwick::tool::CommandTable;
+using filbertwick::tool::ExitCode;
+using filbertwick::tool::ToolFixture;
+
+constexpr char kBundle[] = "examples/nilecut/bundle.json";
+constexpr char kNext[] = "examples/nilecut/bundle-2.json";
+
+/// One entry that has one peer, a sidecar in zone "a".
+struct FakeEntry {
+  uint64_t version = 1;
+  std::string bundle = *ReadFile(kBundle);
+  /// Offsets: of the entry, and of the peer in turn, the last one for good.
+  uint64_t offset = 10;
+  std::vector<uint64_t> peer_offsets = {10};
+  bool out = false;
+  /// Statuses until a zone that is out is certainly so.
+  int until_certain = 0;
+  /// What changes are answered with, in turn; the last one for good.
+  std::vector<Response> verdicts = {
+      Answer(200, R"({"accepted":true,"offset":11})")};
+  /// Called when a change was taken.
+  std::function<void(FakeEntry&)> on_change;
+
+  absl::StatusOr<Response> operator()(uint16_t, const Request& request) {
+    if (request.target == "/v1/status") {
+      return Answer(200, Status());
+    }
+    if (request.target == "/v1/bundle") {
+      return Answer(200, fmt::format(R"({{"version":{},"text":{}}})", version,
+                                     Quote(bundle)));
+    }
+    if (request.target.starts_with("/v1/audit")) {
+      return Answer(200,
+                    R"({"lines":[{"offset":3,"unix_ms":0,"author":"bob",)"
+                    R"("change":"c","what":"bundle 2 based on 1",)"
+                    R"("accepted":true,"why":""},{"offset":4,"unix_ms":1000,)"
+                    R"("author":"ada","change":"d","what":"zone a out",)"
+                    R"("accepted":false,"why":"no"}]})");
+    }
+    if (request.target == "/v1/changes") {
+      const Response verdict = verdicts.front();
+      if (verdicts.size() > 1) {
+        verdicts.erase(verdicts.begin());
+      }
+      if (verdict.status == 200 && on_change) {
+        on_change(*this);
+      }
+      return verdict;
+    }
+    return Answer(404, R"({"error":"there is no such page"})");
+  }
+
+  std::string Status() {
+    const uint64_t peer = peer_offsets.front();
+    if (peer_offsets.size() > 1) {
+      peer_offsets.erase(peer_offsets.begin());
+    }
+    const bool certain = out && until_certain-- <= 0;
+    return fmt::format(
+        R"({{"name":"e1","role":"entry","region":"r","zone":"a",)"
+        R"("offset":{},"bundle_version":{},"evidence_age_ms":-1,)"
+        R"("ready":true,"peers":[{{"name":"s1","role":"sidecar",)"
+        R"("zone":"delta-a","service":"capsule","offset":{},"age_ms":5,)"
+        R"("slots":8,"running":3}},{{"name":"s2","role":"sidecar",)"
+        R"("offset":0,"age_ms":-1}}],"zones":[{{"name":"delta-a","out":{},)"
+        R"("certainly_out":{},"running":3}}]}})",
+        offset, version, peer, out, certain);
+  }
+};
+
+/// Takes the second example bundle when it is published.
+void TakeNext(FakeEntry& entry) {
+  entry.version = 2;
+  entry.bundle = *ReadFile(kNext);
+  entry.offset = 12;
+}
+
+Test(tool, every_command_has_help_and_version) {
+  ToolFixture tool(FakeEntry{});
+  cr_expect(tool.Run({"--help"}) == ExitCode::kOk);
+  const std::string help = tool.out;
+  for (const auto create : CommandTable()) {
+    const std::string name(create()->Info().name);
+    cr_expect(help.find("  " + name) != std::string::npos);
+    cr_expect(tool.Run({name, "--help"}) == ExitCode::kOk);
+    cr_expect(tool.out.find("Exit codes:") != std::string::npos);
+    cr_expect(tool.Run({name, "--version"}) == ExitCode::kOk);
+    cr_expect(tool.out == "filbertwick 0.1.0\n");
+    cr_expect(tool.Run({name, "--nonsense"}) == ExitCode::kUsage);
+  }
+  cr_expect(tool.requests.empty());
+}
+
+Test(tool, wrong_command_lines_are_refused) {
+  const std::vector<std::vector<std::string>> lines = {
+      {},
+      {"nonsense"},
+      {"check"},
+      {"diff", kBundle},
+      {"status", "--entry", "localhost:1"},
+      {"status", "--entry", "127.0.0.1:0"},
+      {"status", "--interval-ms", "0"},
+      {"audit", "--since", "-1"},
+      {"zone", "away", "a"},
+      {"zone", "out", "no-such-zone"},
+      {"submit", "--service", "capsule", "payload"},
+      {"publish", "not/there.json"},
+      {"publish", kNext, "--token-file", "not/there"},
+  };
+  for (const auto& line : lines) {
+    ToolFixture tool(FakeEntry{});
+    cr_expect(tool.Run(line) == ExitCode::kUsage, "%s",
+              line.empty() ? "" : line[0].c_str());
+    cr_expect_not(tool.err.empty());
+  }
+}
+
+Test(tool, check_and_diff_read_files) {
+  ToolFixture tool(FakeEntry{});
+  cr_expect(tool.Run({"check", kBundle}) == ExitCode::kOk);
+  cr_expect(tool.Run({"check", "--settings", kBundle}) == ExitCode::kUsage);
+  cr_expect(tool.Run({"check", kNext, "--against", kBundle}) ==
+            ExitCode::kFailed);
+  cr_expect(tool.out.find("weight is cut from 4 to 1") != std::string::npos);
+  cr_expect(tool.Run({"check", kNext, "--against", kBundle, "--accept-warnings",
+                      "--json"}) == ExitCode::kOk);
+  cr_expect(tool.out.starts_with(R"({"ok":true,"findings":[{"severity":"war)"));
+  cr_expect(tool.Run({"diff", kBundle, kNext}) == ExitCode::kOk);
+  cr_expect(tool.out == "team stylists: weight 4 -> 1\n");
+  cr_expect(tool.Run({"diff", "--json", kBundle, kBundle}) == ExitCode::kOk);
+  cr_expect(tool.out == "{\"changes\":[]}\n");
+}
+
+Test(tool, publish_waits_until_all_in_contact_know) {
+  FakeEntry entry;
+  entry.peer_offsets = {10, 11, 11, 12};
+  entry.on_change = &TakeNext;
+  ToolFixture tool(entry);
+  cr_expect(tool.Run({"publish", kNext}) == ExitCode::kUsage);
+  cr_expect(tool.err.find("--accept-warnings") != std::string::npos);
+  cr_expect(tool.requests.back().method == "GET");
+  cr_expect(tool.Run({"publish", kNext, "--accept-warnings", "--json"}) ==
+            ExitCode::kOk);
+  cr_expect(tool.out ==
+            "{\"accepted\":true,\"change\":\"ada-0000000000000007\","
+            "\"version\":2,\"in_force\":true,\"instances\":2,\"lagging\":[],"
+            "\"out_of_contact\":[\"s2\"]}\n");
+  cr_expect(tool.err.find("known to 1 of 2 instances, waiting for s1") !=
+            std::string::npos);
+}
+
+Test(tool, publish_names_the_winner_of_a_conflict) {
+  FakeEntry entry;
+  TakeNext(entry);
+  entry.bundle += " ";
+  ToolFixture tool(entry);
+  cr_expect(tool.Run({"publish", kNext}) == ExitCode::kRefused);
+  cr_expect(tool.err.find("version 2 by bob is in force") != std::string::npos);
+
+  // The race is lost between the check and the proposal.
+  FakeEntry late;
+  late.verdicts = {Answer(409, R"({"accepted":false,"why":"too late"})")};
+  ToolFixture race(late);
+  cr_expect(race.Run({"publish", kNext, "--accept-warnings"}) ==
+            ExitCode::kRefused);
+  cr_expect(race.err.find("refused: too late") != std::string::npos);
+  cr_expect(race.err.find("team stylists: weight 4 -> 1") != std::string::npos);
+}
+
+Test(tool, a_lost_answer_is_asked_for_under_the_same_change) {
+  FakeEntry entry;
+  entry.on_change = &TakeNext;
+  entry.peer_offsets = {12};
+  int lost = 2;
+  ToolFixture tool(
+      [&](uint16_t port, const Request& request) -> absl::StatusOr<Response> {
+        if (request.method == "POST" && lost-- > 0) {
+          return absl::DeadlineExceededError("lost");
+        }
+        return entry(port, request);
+      });
+  cr_expect(tool.Run({"publish", kNext, "--accept-warnings"}) == ExitCode::kOk);
+  std::vector<std::string> bodies;
+  for (const Request& request : tool.requests) {
+    if (request.method == "POST") {
+      cr_expect(request.FindHeader("Authorization") == "Bearer secret");
+      bodies.push_back(request.body);
+    }
+  }
+  cr_expect(bodies.size() == 3);
+  cr_expect(bodies[0] == bodies[1] && bodies[1] == bodies[2]);
+  // Published once more, it is in force already.
+  cr_expect(tool.Run({"publish", kNext}) == ExitCode::kOk);
+  cr_expect(tool.requests.back().method == "GET");
+}
+
+Test(tool, a_change_that_gets_no_verdict_says_how_to_go_on) {
+  FakeEntry entry;
+  entry.verdicts = {Answer(503, "{}")};
+  ToolFixture tool(entry);
+  cr_expect(tool.Run({"zone", "out", "delta-a", "--accept-warnings"}) ==
+            ExitCode::kUnreachable);
+  cr_expect(tool.err.find("change ada-0000000000000007") != std::string::npos);
+  entry.verdicts = {Answer(401, R"({"error":"wrong token"})")};
+  ToolFixture refused(entry);
+  cr_expect(refused.Run({"zone", "in", "delta-a"}) == ExitCode::kRefused);
+  ToolFixture gone([](uint16_t, const Request&) {
+    return absl::UnavailableError("refused");
+  });
+  cr_expect(gone.Run({"status"}) == ExitCode::kUnreachable);
+  cr_expect(gone.requests.size() == 2);
+}
+
+Test(tool, zone_out_returns_when_it_is_certain) {
+  FakeEntry entry;
+  entry.until_certain = 2;
+  entry.on_change = [](FakeEntry& it) { it.out = true; };
+  ToolFixture tool(entry);
+  cr_expect(tool.Run({"zone", "out", "delta-a"}) == ExitCode::kOk);
+  cr_expect(tool.out ==
+            "zone delta-a is out: no task can start there any more, 3 still "
+            "run\n");
+  cr_expect(tool.requests.size() == 6);
+  // Never certain: the wait ends and says so.
+  entry.until_certain = 1'000'000;
+  ToolFixture late(entry);
+  cr_expect(late.Run({"zone", "out", "delta-a"}) == ExitCode::kFailed);
+  cr_expect(late.out.empty());
+  cr_expect(late.err.find("not certain yet") != std::string::npos);
+}
+
+Test(tool, zone_out_warns_of_services_without_zone) {
+  FakeEntry entry;
+  const size_t n = entry.bundle.find("[\"delta-a\", \"delta-b\", \"delta-c\"]");
+  cr_assert(n != std::string::npos);
+  entry.bundle.replace(n, 33, "[\"delta-a\"]");
+  ToolFixture tool(entry);
+  cr_expect(tool.Run({"zone", "out", "delta-a"}) == ExitCode::kUsage);
+  cr_expect(tool.err.find("\"capsule\" has no zone left") != std::string::npos);
+}
+
+Test(tool, pages_are_printed) {
+  ToolFixture tool(FakeEntry{});
+  cr_expect(tool.Run({"status", "--watch", "--count", "2"}) == ExitCode::kOk);
+  cr_expect(tool.out.find("capsule                      1      8       3") !=
+            std::string::npos);
+  cr_expect(tool.requests.size() == 2);
+  cr_expect(tool.Run({"audit", "--since", "3"}) == ExitCode::kOk);
+  cr_expect(tool.requests.back().target == "/v1/audit?since=3");
+  cr_expect(
+      tool.out ==
+      "       3 1970-01-01T00:00:00Z bob              bundle 2 based on 1 "
+      "(c)\n       4 1970-01-01T00:00:01Z ada              zone a out: "
+      "refused: no (d)\n");
+  cr_expect(tool.Run({"explain", "a/b"}) == ExitCode::kFailed);
+  cr_expect(tool.requests.back().target == "/v1/jobs/a%2Fb/explain");
+}
+
+Test(tool, submit_tells_the_outcome) {
+  struct Case {
+    int status;
+    const char* body;
+    ExitCode code;
+  };
+  const std::array<Case, 4> cases = {{
+      {200, R"({"outcome":"complete","tasks":[]})", ExitCode::kOk},
+      {200, R"({"outcome":"failed","reason":"deadline"})", ExitCode::kFailed},
+      {503, R"({"outcome":"refused","reason":"overloaded","not_run":true})",
+       ExitCode::kRefused},
+      {200, "<html>", ExitCode::kFailed},
+  }};
+  for (const Case& c : cases) {
+    ToolFixture tool(
+        [&](uint16_t, const Request&) { return Answer(c.status, c.body); });
+    cr_expect(tool.Run({"submit", "--service", "s", "--team", "t", "--id", "j",
+                        "one", "two"}) == c.code,
+              "%s", c.body);
+    cr_expect(tool.requests[0].method == "PUT");
+    cr_expect(tool.requests[0].body ==
+              R"({"service":"s","team":"t","deadline_ms":10000,)"
+              R"("tasks":["one","two"]})");
+  }
+}
+
+}  // namespace
