--- a/filbertwick/core/policy/dispatcher.h
+++ b/filbertwick/core/policy/dispatcher.h
@@ -10,6 +10,7 @@
 #include "filbertwick/base/name.h"
 #include "filbertwick/base/time.h"
 #include "filbertwick/bundle/bundle.h"
+#include "filbertwick/core/policy/admission_control.h"
 #include "filbertwick/core/policy/policy_settings.h"
 #include "filbertwick/core/policy/task_ref.h"
 #include "filbertwick/wire/job.h"
@@ -34,14 +35,6 @@
   Duration deadline{0};
 };
 
-/// Whether a job is taken in.
-struct Admission {
-  /// kNone admits; others refuse with "not run".
-  wire::Reason reason = wire::Reason::kNone;
-  /// For refusals: when a retry is worth it.
-  Duration retry_after{0};
-};
-
 /// One decision: this task goes to this upstream.
 struct Placement {
   TaskRef task;
@@ -57,7 +50,7 @@
   kNotStarted,
   /// Its worker was lost, or it did not end in time.
   kLost,
-  /// Its owner stopped it; says nothing about the upstream.
+  /// Its owner stopped it while it ran; says nothing of its worker.
   kStopped,
 };
 
@@ -79,6 +72,8 @@
 
   /// Replaces services, teams and quotas; waiting tasks keep their places.
   void SetBundle(const bundle::Bundle& bundle);
+  /// Says how many entries share the upstreams and which one, from 0, this is.
+  void SetSharing(uint32_t entries, uint32_t number);
   /// Stops placement into a zone at once, or ramps it up again from `now`.
   void SetZoneOut(const ZoneName& zone, bool out, Instant now);
 
--- a/filbertwick/core/policy/placement_index.cc
+++ b/filbertwick/core/policy/placement_index.cc
@@ -69,6 +69,10 @@
   return Duration(std::llround(WaitMicros(entries_[*best].place)));
 }
 
+bool PlacementIndex::HasFreeSlot(UpstreamId upstream) const {
+  return FreeSlots(entries_[upstream].place) > 0;
+}
+
 void PlacementIndex::Hash(Hasher& hasher) const {
   hasher.Add(changes_);
   for (const Key& key : order_) {
@@ -93,9 +97,7 @@
             std::pow(settings_.unseen_share, place.slots - place.busy);
   }
   // A slow upstream costs what the task runs longer there.
-  if (settings_.use_run_time && run_time > usual * settings_.slow_ratio) {
-    wait += run_time - usual;
-  }
+  wait += std::max(run_time - usual, 0.0);
   return wait;
 }
 
--- a/filbertwick/platform/log_client.cc
+++ b/filbertwick/platform/log_client.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <exception>
 #include <iterator>
+#include <optional>
 #include <random>
 #include <utility>
 #include <variant>
@@ -58,9 +59,8 @@
   const auto first = http::ParseNumber(response.FindHeader(kFirstHeader));
   const auto head = http::ParseNumber(response.FindHeader(kHeadHeader));
   if (response.status != 200 || !first || !head) {
-    return absl::UnavailableError(
-        fmt::format("the log service answered a read with status {}",
-                    response.status));
+    return absl::UnavailableError(fmt::format(
+        "the log service answered a read with status {}", response.status));
   }
   auto records = DecodeRecords(response.body);
   if (!records.ok()) {
@@ -75,8 +75,15 @@
   return LogBatch{*first, *std::move(records), *head};
 }
 
-bool IsCheckpoint(const wire::ControlRecord& record) {
-  return std::holds_alternative<wire::Checkpoint>(record.body);
+/// Index of the newest checkpoint that counts; nothing when there is none.
+std::optional<size_t> FindCheckpoint(const LogBatch& batch) {
+  for (size_t i = batch.records.size(); i-- > 0;) {
+    const auto* it = std::get_if<wire::Checkpoint>(&batch.records[i].body);
+    if (it && it->offset == batch.first + i) {
+      return i;
+    }
+  }
+  return std::nullopt;
 }
 
 }  // namespace
@@ -176,8 +183,9 @@
   const auto available =
       http::ParseNumber(response.FindHeader(kAvailableHeader));
   if (!available || *available <= next_) {
-    OnDown(absl::DataLossError("the log service trimmed, but not past the "
-                               "offset that was read"));
+    OnDown(
+        absl::DataLossError("the log service trimmed, but not past the "
+                            "offset that was read"));
     return;
   }
   seeking_ = true;
@@ -197,17 +205,14 @@
 }
 
 void LogClient::Impl::Seek(LogBatch batch) {
-  const auto newest =
-      std::find_if(batch.records.rbegin(), batch.records.rend(), IsCheckpoint);
-  auto begin = batch.records.begin();
-  if (newest != batch.records.rend()) {
-    begin = std::prev(newest.base());
-    found_.records.clear();
-    found_.first =
-        batch.first + static_cast<uint64_t>(begin - batch.records.begin());
-  }
-  if (newest != batch.records.rend() || !found_.records.empty()) {
-    std::move(begin, batch.records.end(), std::back_inserter(found_.records));
+  if (const auto newest = FindCheckpoint(batch)) {
+    batch.records.erase(
+        batch.records.begin(),
+        batch.records.begin() + static_cast<ptrdiff_t>(*newest));
+    found_.first = batch.first + *newest;
+    found_.records = std::move(batch.records);
+  } else if (!found_.records.empty()) {
+    std::ranges::move(batch.records, std::back_inserter(found_.records));
   }
   if (next_ < batch.head) {
     Read();
@@ -267,8 +272,8 @@
 
 void LogClient::Impl::AddPending(wire::ControlRecord record) {
   // A retry of a change that still waits here needs no second record.
-  const auto it = std::ranges::find(pending_, record.change,
-                                    &wire::ControlRecord::change);
+  const auto it =
+      std::ranges::find(pending_, record.change, &wire::ControlRecord::change);
   if (it != pending_.end()) {
     *it = std::move(record);
   } else {
