--- a/filbertwick/tool/zone_command.cc
+++ b/filbertwick/tool/zone_command.cc
@@ -82,6 +82,7 @@
 
   ExitCode ReportUnknownZone(const core::CoreStatus& status) const {
     std::vector<std::string_view> names;
+    names.reserve(status.zones.size());
     for (const core::ZoneStatus& zone : status.zones) {
       names.push_back(zone.zone.value());
     }
