--- a/filbertwick/tool/submit_command.cc
+++ b/filbertwick/tool/submit_command.cc
@@ -7,6 +7,7 @@
 #include "filbertwick/json/text_writer.h"
 #include "filbertwick/tool/command_table.h"
 #include "filbertwick/tool/entry_client.h"
+#include "filbertwick/tool/job_id.h"
 #include "filbertwick/tool/job_target.h"
 #include "filbertwick/tool/report.h"
 #include "filbertwick/wire/job.h"
@@ -18,14 +19,6 @@
 /// Time on top of the job's deadline for the answer to arrive.
 constexpr Duration kAnswerMargin = std::chrono::seconds(2);
 
-/// A UUID of version 7: its birth time, then random bits.
-std::string MakeUuid(WallTime now, uint64_t high, uint64_t low) {
-  const auto millis = static_cast<uint64_t>(now.unix_millis);
-  return fmt::format("{:08x}-{:04x}-7{:03x}-{:04x}-{:012x}",
-                     (millis >> 16) & 0xffffffff, millis & 0xffff, high & 0xfff,
-                     0x8000 | ((high >> 12) & 0x3fff), low & 0xffffffffffff);
-}
-
 /// Submits one job and prints its answer.
 class SubmitCommand : public Command {
  public:
@@ -64,8 +57,8 @@
       return ReportError(environment, kPrefix, client.status());
     }
     if (id_.empty()) {
-      id_ =
-          MakeUuid(WallTime::Now(), environment.random(), environment.random());
+      id_ = MakeJobId(WallTime::Now(), environment.random(),
+                      environment.random());
     }
     const auto response =
         client->Call(MakeRequest(operands), deadline_ + kAnswerMargin);
