Call an entry ready only once it serves what it holds

Cause: the demo's first jobs waited 1 s: an entry called itself ready while its shards stood behind the fence. Conclusion: callers are let in when they can be served.

--- a/filbertwick/core/entry/entry_core.cc
+++ b/filbertwick/core/entry/entry_core.cc
@@ -448,7 +448,11 @@
                               : until - now.monotonic;
     status.evidence_age = settings_.timing.evidence_age - left;
   }
-  status.ready = evidence && !stopping_ && state.bundle() != nullptr;
+  // An entry that holds shards but serves none would only make callers wait.
+  const bool serves =
+      ownership_->Held().empty() || ownership_->serving() > 0;
+  status.ready =
+      evidence && serves && !stopping_ && state.bundle() != nullptr;
   status.stopping = stopping_;
   status.shards_owned = static_cast<uint32_t>(ownership_->Held().size());
   status.shards_serving = ownership_->serving();
--- a/filbertwick/tool/demo/demo_load.h
+++ b/filbertwick/tool/demo/demo_load.h
@@ -33,7 +33,7 @@
   Duration interval = std::chrono::milliseconds(20);
   /// Bounds of a task's run time.
   uint32_t min_run_millis = 10;
-  uint32_t max_run_millis = 120;
+  uint32_t max_run_millis = 80;
   uint64_t seed = 1;
 };
 
