Measure live processes: added latency, starts a second, usage per role

bench_live starts a log stand-in, entries, and sidecars with executors as processes on loopback, publishes a bundle, offers the same open load to the executors and through the entries, then keeps jobs open at one entry, and ends what it started. It fails when a task started twice.

--- /dev/null
+++ b/bench/live/fleet.h
@@ -0,0 +1,72 @@
+#ifndef FILBERTWICK_BENCH_LIVE_FLEET_H_
+#define FILBERTWICK_BENCH_LIVE_FLEET_H_
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bench/live/child_process.h"
+#include "filbertwick/base/time.h"
+
+namespace filbertwick::bench {
+
+/// How many processes are started, and from where.
+struct FleetSettings {
+  /// Folder of the programs.
+  std::string programs;
+  uint32_t entries = 3;
+  uint32_t sidecars = 6;
+  uint32_t slots = 8;
+};
+
+/// Usage of all processes of one role.
+using UsageOfRole = std::map<std::string, Usage>;
+
+/// A log stand-in, entries, and sidecars with their executors, each a process
+/// on loopback. All are ended with this object.
+class Fleet {
+ public:
+  /// Starts everything, publishes a bundle and waits until a job completes.
+  static absl::StatusOr<std::unique_ptr<Fleet>> Start(
+      const FleetSettings& settings);
+  ~Fleet();
+
+  /// HTTP ports of the entries and executors.
+  const std::vector<uint16_t>& entries() const { return entries_; }
+  const std::vector<uint16_t>& executors() const { return executors_; }
+
+  UsageOfRole ReadUsage() const;
+
+  /// Tasks started, and tasks started more than once, at all executors.
+  std::pair<uint64_t, uint64_t> CountStarts() const;
+
+ private:
+  explicit Fleet(const FleetSettings& settings);
+
+  absl::Status StartAll();
+  absl::Status StartDaemon(const std::string& role,
+                           uint32_t number,
+                           uint16_t http_port);
+  absl::StatusOr<uint16_t> StartStandin(const std::string& role,
+                                        std::vector<std::string> command);
+  absl::Status AddProcess(const std::string& role,
+                          const std::vector<std::string>& command);
+  absl::Status Publish() const;
+  absl::Status AwaitJob(uint16_t entry) const;
+
+  const FleetSettings settings_;
+  std::string folder_;
+  std::string secret_;
+  uint16_t log_port_ = 0;
+  std::vector<uint16_t> entries_;
+  std::vector<uint16_t> executors_;
+  std::vector<std::pair<std::string, std::unique_ptr<ChildProcess>>> processes_;
+};
+
+}  // namespace filbertwick::bench
+
+#endif  // FILBERTWICK_BENCH_LIVE_FLEET_H_
