--- a/filbertwick/core/policy/policy_settings.h
+++ b/filbertwick/core/policy/policy_settings.h
@@ -19,7 +19,7 @@
   bool fair_teams = true;
   /// Penalty of a team for work it got, against remaining work of a job: 0 is
   /// no fairness, large is fairness alone.
-  double fairness = 0.05;
+  double fairness = 1.0;
   /// Urgent jobs go before bulk ones.
   bool urgent_first = true;
   /// Of this many placements one goes to bulk jobs while both classes wait.
@@ -50,7 +50,7 @@
 struct SharingSettings {
   /// Share of all slots that is reserved, in equal parts for each entry, so
   /// that one entry's long job does not keep another's short one waiting.
-  double reserved_share = 0.1;
+  double reserved_share = 0.07;
 };
 
 /// Setting upstreams aside that fail more than the others.
