Let a drained sidecar stop once no entry probes it any more

Cause: entries that folded its leave sent it nothing more, the record included, so every planned stop of a sidecar ran into its deadline. Change: a sidecar whose leave is on its way and that was not probed for 2F has left.

--- a/filbertwick/core/sidecar/sidecar_core.cc
+++ b/filbertwick/core/sidecar/sidecar_core.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "filbertwick/base/hash.h"
@@ -99,6 +100,7 @@
   void On(LogDownEvent&) {}
 
   void OnMessage(const wire::Sender& from, wire::Probe& message) {
+    probed_at_ = now_.monotonic;
     member_->OnProbe(now_.monotonic, from, message, *effects_);
     runner_->OnRenewal(from.name, message);
   }
@@ -147,6 +149,10 @@
   bool stopping_ = false;
   bool stopped_ = false;
   Instant stop_by_ = Instant::max();
+  /// When the last probe of an entry came.
+  Instant probed_at_ = Instant::min();
+  /// Since when all work is done and the leave is on its way to the log.
+  std::optional<Instant> leaving_since_;
 };
 
 void SidecarCore::Impl::Begin() {
@@ -223,12 +229,19 @@
   if (!runner_->idle()) {
     return;
   }
+  // Entries that have folded the leave send nothing more, the record included.
+  const Duration silence = 2 * settings_.timing.evidence_age;
+  const bool dropped = leaving_since_ &&
+                       now_.monotonic - *leaving_since_ >= silence &&
+                       probed_at_ + silence <= now_.monotonic;
   const wire::InstanceInfo* own = FindPeer(settings_.info.name);
-  if (own == nullptr || own->incarnation != settings_.info.incarnation) {
+  if (dropped || own == nullptr ||
+      own->incarnation != settings_.info.incarnation) {
     stopped_ = true;
     effects_->push_back(StoppedEffect{true});
     return;
   }
+  leaving_since_ = leaving_since_.value_or(now_.monotonic);
   const ChangeId change(fmt::format("leave/{}/{:016x}",
                                     settings_.info.name.value(),
                                     settings_.info.incarnation));
--- a/filbertwick/harness/caller_pool.cc
+++ b/filbertwick/harness/caller_pool.cc
@@ -247,6 +247,10 @@
   impl_->Ask(*impl_->calls.at(job), entry, wire::JobQuery::kCancel);
 }
 
+std::string CallerPool::MakeId() {
+  return MakeUuid(impl_->world.WallMillis(), impl_->random);
+}
+
 const CallerResult& CallerPool::result(size_t job) const {
   return impl_->calls.at(job)->result;
 }
--- a/filbertwick/harness/caller_pool.h
+++ b/filbertwick/harness/caller_pool.h
@@ -89,6 +89,9 @@
   /// Cancels a job through `entry`.
   void Cancel(size_t job, const InstanceName& entry);
 
+  /// A new job id born now.
+  std::string MakeId();
+
   /// What became of a job so far.
   const CallerResult& result(size_t job) const;
   /// All jobs so far.
--- a/filbertwick/harness/scenario_functions.cc
+++ b/filbertwick/harness/scenario_functions.cc
@@ -333,13 +333,12 @@
   return 1;
 }
 
-/// id_owned_by(entry [, prefix]) -> a job id that falls to the entry
+/// id_owned_by(entry) -> a job id, born now, that falls to the entry
 int IdOwnedBy(lua_State* lua) {
   Testbed& bed = Bed(lua);
   const InstanceName entry = ArgInstance(lua, 1);
-  const std::string prefix = luaL_optstring(lua, 2, "job");
   for (int n = 0; n < kMaxIds; ++n) {
-    const std::string id = fmt::format("{}-{}", prefix, n);
+    const std::string id = bed.callers().MakeId();
     if (OwnerOf(bed, JobId(id)) == entry.value()) {
       lua_pushstring(lua, id.c_str());
       return 1;
--- a/scenarios/repeatable_request_runs_again.lua
+++ b/scenarios/repeatable_request_runs_again.lua
@@ -7,6 +7,9 @@
 for n = 1, 8 do jobs[n] = submit{} end
 run(300)
 kill_worker("sidecar-1")
+run(1000)
+executor("sidecar-1", "normal")
+start("sidecar-1")
 run(8000)
 for n = 1, 8 do
   expect(answer(jobs[n]) and answer(jobs[n]).outcome == "complete", "job " .. n .. " is complete")
