--- a/filbertwick/tool/command_table.cc
+++ b/filbertwick/tool/command_table.cc
@@ -6,7 +6,7 @@
   static constexpr CommandFactory kTable[] = {
       &CreateCheckCommand,   &CreateDiffCommand,   &CreatePublishCommand,
       &CreateZoneCommand,    &CreateStatusCommand, &CreateAuditCommand,
-      &CreateExplainCommand, &CreateSubmitCommand,
+      &CreateExplainCommand, &CreateSubmitCommand, &CreateScenarioCommand,
   };
   return kTable;
 }
--- a/filbertwick/tool/command_table.h
+++ b/filbertwick/tool/command_table.h
@@ -17,6 +17,7 @@
 std::unique_ptr<Command> CreateAuditCommand();
 std::unique_ptr<Command> CreateExplainCommand();
 std::unique_ptr<Command> CreateSubmitCommand();
+std::unique_ptr<Command> CreateScenarioCommand();
 
 /// Makes one subcommand.
 using CommandFactory = std::unique_ptr<Command> (*)();
