--- a/bench/bench_path.cc
+++ b/bench/bench_path.cc
@@ -112,8 +112,8 @@
     settings.log.port = log_->port();
     settings.peer_secret = std::string(daemon::kPeerSecretBytes, 's');
     settings.operator_token = kToken;
-    return Must(daemon::Daemon::Create(settings, [](std::string_view) {},
-                                       [](bool) {}));
+    return Must(daemon::Daemon::Create(
+        settings, [](std::string_view) {}, [](bool) {}));
   }
 
   void Publish() const {
@@ -209,7 +209,8 @@
 };
 
 double Quantile(const std::vector<double>& sorted, double q) {
-  return sorted[static_cast<size_t>(q * static_cast<double>(sorted.size() - 1))];
+  return sorted[static_cast<size_t>(q *
+                                    static_cast<double>(sorted.size() - 1))];
 }
 
 void PrintLatency(const char* name, const std::vector<double>& millis) {
@@ -237,9 +238,11 @@
   const std::string job = MakeJob(1, kRunTime);
   const auto direct =
       OpenLoop::Run(loop.context(), rate, [&](int n, http::CallHook done) {
-        http::Request request{
-            "POST", fmt::format("/v1/tasks/direct-{}/0?attempt=1", n), {},
-            payload, 0};
+        http::Request request{"POST",
+                              fmt::format("/v1/tasks/direct-{}/0?attempt=1", n),
+                              {},
+                              payload,
+                              0};
         executors[n % kSidecars]->Call(std::move(request), kCallTimeout,
                                        std::move(done));
       });
@@ -272,17 +275,17 @@
   std::function<void()> next = [&] {
     http::Request request{
         "PUT", fmt::format("/v1/jobs/rate-{}-{}", tasks, number++), {}, job, 0};
-    entry->Call(std::move(request), kCallTimeout,
-                [&](const http::CallResult& result) {
-                  const bool good = Must(result.response).body.find(
-                                        "\"complete\"") != std::string::npos;
-                  (good ? complete : other) += 1;
-                  if (MonotonicClock::now() - start < kThroughputTime) {
-                    next();
-                  } else if (--left == 0) {
-                    finished.set_value();
-                  }
-                });
+    entry->Call(
+        std::move(request), kCallTimeout, [&](const http::CallResult& result) {
+          const bool good = Must(result.response).body.find("\"complete\"") !=
+                            std::string::npos;
+          (good ? complete : other) += 1;
+          if (MonotonicClock::now() - start < kThroughputTime) {
+            next();
+          } else if (--left == 0) {
+            finished.set_value();
+          }
+        });
   };
   boost::asio::post(loop.context(), [&] {
     for (int n = 0; n < open_jobs; ++n) {
@@ -292,9 +295,10 @@
   finished.get_future().wait();
   const double seconds =
       static_cast<double>((MonotonicClock::now() - start).count()) / 1e6;
-  fmt::print("{} open jobs of {} tasks: {:.0f} starts/s, {} jobs complete, {} "
-             "not\n",
-             open_jobs, tasks, complete * tasks / seconds, complete, other);
+  fmt::print(
+      "{} open jobs of {} tasks: {:.0f} starts/s, {} jobs complete, {} "
+      "not\n",
+      open_jobs, tasks, complete * tasks / seconds, complete, other);
 }
 
 void Run() {
--- a/filbertwick/core/entry/entry_core.cc
+++ b/filbertwick/core/entry/entry_core.cc
@@ -449,10 +449,8 @@
     status.evidence_age = settings_.timing.evidence_age - left;
   }
   // An entry that holds shards but serves none would only make callers wait.
-  const bool serves =
-      ownership_->Held().empty() || ownership_->serving() > 0;
-  status.ready =
-      evidence && serves && !stopping_ && state.bundle() != nullptr;
+  const bool serves = ownership_->Held().empty() || ownership_->serving() > 0;
+  status.ready = evidence && serves && !stopping_ && state.bundle() != nullptr;
   status.stopping = stopping_;
   status.shards_owned = static_cast<uint32_t>(ownership_->Held().size());
   status.shards_serving = ownership_->serving();
