--- a/filbertwick/core/entry/entry_core.cc
+++ b/filbertwick/core/entry/entry_core.cc
@@ -129,8 +129,8 @@
   void OnMessage(const wire::Sender& from, wire::ForwardQuery& message) {
     router_->OnForwardQuery(now_, from, message, *effects_);
   }
-  void OnMessage(const wire::Sender&, wire::ForwardAnswer& message) {
-    router_->OnForwardAnswer(now_, message, *effects_);
+  void OnMessage(const wire::Sender& from, wire::ForwardAnswer& message) {
+    router_->OnForwardAnswer(now_, from, message, *effects_);
   }
   void OnMessage(const wire::Sender& from, wire::Handover& message) {
     const auto taken = handover_->OnHandover(now_, from, message, *effects_);
@@ -448,7 +448,9 @@
                               : until - now.monotonic;
     status.evidence_age = settings_.timing.evidence_age - left;
   }
-  status.ready = evidence && !stopping_ && state.bundle() != nullptr;
+  // An entry that holds shards but serves none would only make callers wait.
+  const bool serves = ownership_->Held().empty() || ownership_->serving() > 0;
+  status.ready = evidence && serves && !stopping_ && state.bundle() != nullptr;
   status.stopping = stopping_;
   status.shards_owned = static_cast<uint32_t>(ownership_->Held().size());
   status.shards_serving = ownership_->serving();
