--- a/filbertwick/core/entry/entry_core.cc
+++ b/filbertwick/core/entry/entry_core.cc
@@ -27,6 +27,8 @@
 
 /// Longest time between two rounds of the controllers.
 constexpr Duration kRound = std::chrono::milliseconds(25);
+/// Shortest time between two wakeups that nothing urgent asks for.
+constexpr Duration kShortestPause = std::chrono::milliseconds(1);
 
 }  // namespace
 
@@ -55,10 +57,12 @@
     if (!member_ || urgent_) {
       return Instant::min();
     }
-    return std::min({round_at_, member_->NextWakeup(), runner_->NextWakeup(),
-                     router_->NextWakeup(), intake_->NextWakeup(),
-                     recorder_->NextWakeup(), handover_->NextWakeup(),
-                     dispatcher_->NextChange(now_.monotonic)});
+    const Instant next = std::min(
+        {round_at_, member_->NextWakeup(), runner_->NextWakeup(),
+         router_->NextWakeup(), intake_->NextWakeup(), recorder_->NextWakeup(),
+         handover_->NextWakeup(), dispatcher_->NextChange(now_.monotonic)});
+    // What is due but can't go on, for want of evidence say, must not spin.
+    return std::max(next, now_.monotonic + kShortestPause);
   }
 
   uint64_t StateHash() const;
@@ -71,8 +75,8 @@
   }
 
   const ControlState& control() const {
-    static const ControlState kEmpty;
-    return member_ ? member_->control() : kEmpty;
+    static const ControlState empty;
+    return member_ ? member_->control() : empty;
   }
 
  private:
--- a/filbertwick/core/entry/handover.cc
+++ b/filbertwick/core/entry/handover.cc
@@ -168,7 +168,7 @@
       handover.incarnation != context_.member.settings().info.incarnation) {
     return {};
   }
-  const std::vector<wire::ShardEpoch> accepted =
+  std::vector<wire::ShardEpoch> accepted =
       context_.ownership.Accept(handover.shards);
   // Only the memory of shards taken by this very message counts.
   std::vector<wire::HandoverJob> jobs;
--- a/filbertwick/core/entry/registrar.cc
+++ b/filbertwick/core/entry/registrar.cc
@@ -172,9 +172,17 @@
   if (!caught_up || since < timing.checkpoint_records + turns) {
     return;
   }
-  recorder_.Append(
-      now, ChangeId(fmt::format("checkpoint/{}", control.offset())),
-      wire::Checkpoint{control.offset(), control.Encode()}, effects);
+  // One at a time: each refused checkpoint is a record more that the next one
+  // must not miss.
+  if (recorder_.IsPending(checkpoint_)) {
+    return;
+  }
+  checkpoint_ =
+      ChangeId(fmt::format("checkpoint/{}/{}", control.offset(),
+                           member_.settings().info.name.value()));
+  recorder_.Append(now, checkpoint_,
+                   wire::Checkpoint{control.offset(), control.Encode()},
+                   effects);
 }
 
 }  // namespace filbertwick::core
--- a/filbertwick/core/entry/registrar.h
+++ b/filbertwick/core/entry/registrar.h
@@ -47,6 +47,8 @@
   /// Since when the step to be settled has been carried.
   std::optional<Instant> carried_since_;
   wire::LogOffset carried_step_ = 0;
+  /// The checkpoint written last; the next waits until it is read back.
+  ChangeId checkpoint_;
 };
 
 }  // namespace filbertwick::core
--- a/filbertwick/core/entry/upstream_sync.cc
+++ b/filbertwick/core/entry/upstream_sync.cc
@@ -23,6 +23,25 @@
   }
   SyncZones(now);
   SyncUpstreams(now);
+  SyncSharing();
+}
+
+void UpstreamSync::SyncSharing() {
+  // All entries of the region share its upstreams, in order of their names.
+  const wire::InstanceInfo& self = member_.settings().info;
+  std::vector<InstanceName> entries;
+  for (const auto& [name, info] : member_.control().instances()) {
+    if (info.role == wire::Role::kEntry && info.region == self.region) {
+      entries.push_back(name);
+    }
+  }
+  const auto it = std::ranges::find(entries, self.name);
+  if (it == entries.end() || entries == entries_) {
+    return;
+  }
+  const auto number = static_cast<uint32_t>(it - entries.begin());
+  dispatcher_.SetSharing(static_cast<uint32_t>(entries.size()), number);
+  entries_ = std::move(entries);
 }
 
 void UpstreamSync::SyncZones(Instant now) {
--- a/filbertwick/core/entry/upstream_sync.h
+++ b/filbertwick/core/entry/upstream_sync.h
@@ -2,6 +2,7 @@
 #define FILBERTWICK_CORE_ENTRY_UPSTREAM_SYNC_H_
 
 #include <set>
+#include <vector>
 
 #include "filbertwick/base/name.h"
 #include "filbertwick/core/policy/dispatcher.h"
@@ -28,12 +29,14 @@
  private:
   void SyncZones(Instant now);
   void SyncUpstreams(Instant now);
+  void SyncSharing();
 
   const Member& member_;
   policy::Dispatcher& dispatcher_;
   uint64_t bundle_version_ = 0;
   std::set<ZoneName> zones_out_;
   std::set<InstanceName> known_;
+  std::vector<InstanceName> entries_;
   /// Sidecars whose load counts as zero until they are heard again.
   std::set<InstanceName> silent_;
 };
--- a/filbertwick/core/policy/service_scheduler.cc
+++ b/filbertwick/core/policy/service_scheduler.cc
@@ -285,6 +285,7 @@
   --job.unfinished;
   if (end == TaskEnd::kSucceeded) {
     Measure(job, upstream, run_time);
+    proven_ = true;
     upstream.allowed += upstream.allowed < kAllAllowed ? 1 : 0;
     ejector_.OnSuccess(id);
   } else if (end == TaskEnd::kFailed || stalled) {
@@ -534,7 +535,8 @@
 }
 
 void ServiceScheduler::RestartSlowly(Upstream& upstream) const {
-  upstream.allowed = settings_.slow_start ? 1 : kAllAllowed;
+  // While nothing has succeeded here yet there is nowhere better to go.
+  upstream.allowed = settings_.slow_start && proven_ ? 1 : kAllAllowed;
 }
 
 void ServiceScheduler::ReserveSlots() {
--- a/filbertwick/core/policy/service_scheduler.h
+++ b/filbertwick/core/policy/service_scheduler.h
@@ -186,6 +186,8 @@
   /// Tasks placed and not ended.
   uint64_t placed_ = 0;
   bool reservations_due_ = false;
+  /// Some task of the service has succeeded.
+  bool proven_ = false;
 };
 
 }  // namespace filbertwick::core::policy
--- a/filbertwick/core/sidecar/sidecar_core.cc
+++ b/filbertwick/core/sidecar/sidecar_core.cc
@@ -64,8 +64,8 @@
   }
 
   const ControlState& control() const {
-    static const ControlState kEmpty;
-    return member_ ? member_->control() : kEmpty;
+    static const ControlState empty;
+    return member_ ? member_->control() : empty;
   }
 
   CoreStatus Status(const Now& now) const;
--- a/filbertwick/core/state/knowledge.cc
+++ b/filbertwick/core/state/knowledge.cc
@@ -65,14 +65,14 @@
 }
 
 const wire::Epoch& Knowledge::EpochOf(wire::ShardId shard) const {
-  static const wire::Epoch kNone;
+  static const wire::Epoch none;
   const auto it = overrides_.find(shard);
   if (it != overrides_.end()) {
     return it->second;
   }
   const RegionState* state = region();
   const bool known = state != nullptr && shard < state->epochs.size();
-  return known ? state->epochs[shard] : kNone;
+  return known ? state->epochs[shard] : none;
 }
 
 bool Knowledge::Raise(wire::ShardId shard, const wire::Epoch& epoch) {
