Keep to the time an operator gave while a verdict is awaited

Calls now share the time that is left over the entries. The wait says once that no verdict is there yet, and zone out says what it waits for when every instance knows the change already.

--- a/filbertwick/tool/entry_client.cc
+++ b/filbertwick/tool/entry_client.cc
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr Duration kCallTimeout = std::chrono::seconds(5);
+constexpr Duration kMinCallTimeout = std::chrono::milliseconds(100);
 constexpr Duration kRetryPause = std::chrono::milliseconds(250);
 constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
@@ -192,19 +193,24 @@
                      {"Authorization", "Bearer " + token_}};
   request.body = body;
   // A repeated change folds once, so every failure may be tried again.
+  bool told = false;
   while (true) {
-    const auto response = Call(request, kCallTimeout);
+    const Duration left =
+        (deadline_ - environment_->now()) / static_cast<int>(entries_.size());
+    const auto response =
+        Call(request, std::clamp(left, kMinCallTimeout, kCallTimeout));
     if (response.ok() &&
         (response->status == kOk || response->status == kConflict)) {
       return ReadChangeAnswer(response->body);
     }
     const absl::Status status =
         response.ok() ? StatusOf(*response) : response.status();
-    if (!absl::IsUnavailable(status)) {
+    if (!absl::IsUnavailable(status) ||
+        environment_->now() + kRetryPause >= deadline_) {
       return status;
     }
-    if (environment_->now() + kRetryPause >= deadline_) {
-      return status;
+    if (!std::exchange(told, true)) {
+      environment_->err("entry: no verdict on the change yet, trying again\n");
     }
     environment_->sleep(kRetryPause);
     preferred_ = (preferred_ + 1) % entries_.size();
--- a/filbertwick/tool/zone_command.cc
+++ b/filbertwick/tool/zone_command.cc
@@ -150,9 +150,13 @@
 
   std::optional<std::string> Missing(const core::ZoneStatus& zone,
                                      const Spread& spread) const {
-    const bool done =
-        request_.out ? zone.certainly_out : spread.lagging.empty();
-    return done ? std::nullopt : std::optional(FormatSpread(spread));
+    if (request_.out ? zone.certainly_out : spread.lagging.empty()) {
+      return std::nullopt;
+    }
+    const std::string text = FormatSpread(spread);
+    return spread.lagging.empty()
+               ? text + "; waiting until no start can be on its way"
+               : text;
   }
 
   void Print(bool accepted,
--- a/unit_tests/daemon_fixture.h
+++ b/unit_tests/daemon_fixture.h
@@ -87,8 +87,8 @@
       return;
     }
     http::Response response;
-    response.headers.push_back({std::string(platform::kFirstHeader),
-                                std::to_string(records_.size())});
+    response.headers.push_back(
+        {std::string(platform::kFirstHeader), std::to_string(records_.size())});
     auto batch = wire::DecodeBatch(request.body);
     cr_assert(batch.ok());
     std::ranges::move(*batch, std::back_inserter(records_));
@@ -143,8 +143,8 @@
     }
     auto timer =
         std::make_shared<boost::asio::steady_timer>(context_, run_time);
-    timer->async_wait([timer, respond, body = request.body](
-                          const boost::system::error_code&) {
+    timer->async_wait([timer, respond,
+                       body = request.body](const boost::system::error_code&) {
       http::Response response;
       response.body = "did " + body;
       respond(std::move(response));
--- a/unit_tests/daemon_test.cc
+++ b/unit_tests/daemon_test.cc
@@ -118,11 +118,10 @@
     for (const char c : text) {
       escaped += c == '"' ? "\\\"" : std::string(1, c);
     }
-    const Response response =
-        Call(node("entry-a"), "POST", "/v1/changes",
-             R"({"change":"c1","author":"ann","publish":)"
-             R"({"version":1,"based_on":0,"text":")" +
-                 escaped + "\"}}");
+    const Response response = Call(node("entry-a"), "POST", "/v1/changes",
+                                   R"({"change":"c1","author":"ann","publish":)"
+                                   R"({"version":1,"based_on":0,"text":")" +
+                                       escaped + "\"}}");
     cr_assert_eq(response.status, 200, "%s", response.body.c_str());
   }
 
@@ -149,8 +148,7 @@
   const Node& b = deployment.node("entry-b");
   for (int job = 0; job < 4; ++job) {
     const std::string target = fmt::format("/v1/jobs/job-{}", job);
-    const Response first =
-        Deployment::Call(a, "PUT", target, MakeJob(kTasks));
+    const Response first = Deployment::Call(a, "PUT", target, MakeJob(kTasks));
     cr_assert_eq(first.status, 200, "%s", first.body.c_str());
     cr_assert(Contains(first.body, R"("outcome":"complete")"));
     size_t place = 0;
@@ -159,8 +157,7 @@
       cr_assert(place != std::string::npos, "task %d", n);
     }
     // Resubmitted and fetched through the other entry: the same answer.
-    const Response again =
-        Deployment::Call(b, "PUT", target, MakeJob(kTasks));
+    const Response again = Deployment::Call(b, "PUT", target, MakeJob(kTasks));
     cr_assert(again.body == first.body);
     cr_assert(Deployment::Call(b, "GET", target).body == first.body);
     // The same key with another body is refused.
@@ -189,10 +186,10 @@
           .status,
       404);
   // A publication that lost the race names the winner.
-  const Response late = Deployment::Call(
-      deployment.node("entry-b"), "POST", "/v1/changes",
-      R"({"change":"c2","author":"bob","publish":)"
-      R"({"version":2,"based_on":0,"text":"{}"}})");
+  const Response late =
+      Deployment::Call(deployment.node("entry-b"), "POST", "/v1/changes",
+                       R"({"change":"c2","author":"bob","publish":)"
+                       R"({"version":2,"based_on":0,"text":"{}"}})");
   cr_assert_eq(late.status, 409, "%s", late.body.c_str());
 }
 
--- a/unit_tests/tool_fixture.h
+++ b/unit_tests/tool_fixture.h
@@ -34,6 +34,8 @@
   std::string err;
   /// Every request, in order.
   std::vector<http::Request> requests;
+  /// Told of the time that each failed call may take.
+  std::function<void(Duration)> on_timeout;
 
  private:
   Environment MakeEnvironment() {
@@ -44,6 +46,9 @@
                               const http::Request& request, Duration timeout) {
       requests.push_back(request);
       auto response = entry_(settings.port, request);
+      if (!response.ok() && on_timeout) {
+        on_timeout(timeout);
+      }
       now_ += response.ok() ? Duration(1) : timeout;
       return response;
     };
--- a/unit_tests/tool_test.cc
+++ b/unit_tests/tool_test.cc
@@ -1,6 +1,7 @@
 #include <criterion/criterion.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <vector>
@@ -12,6 +13,7 @@
 
 namespace {
 
+using filbertwick::Duration;
 using filbertwick::ReadFile;
 using filbertwick::http::Request;
 using filbertwick::http::Response;
@@ -220,6 +222,7 @@
   cr_expect(tool.Run({"zone", "out", "delta-a", "--accept-warnings"}) ==
             ExitCode::kUnreachable);
   cr_expect(tool.err.find("change ada-0000000000000007") != std::string::npos);
+  cr_expect(tool.err.find("no verdict on the change yet") != std::string::npos);
   entry.verdicts = {Answer(401, R"({"error":"wrong token"})")};
   ToolFixture refused(entry);
   cr_expect(refused.Run({"zone", "in", "delta-a"}) == ExitCode::kRefused);
@@ -246,6 +249,7 @@
   cr_expect(late.Run({"zone", "out", "delta-a"}) == ExitCode::kFailed);
   cr_expect(late.out.empty());
   cr_expect(late.err.find("not certain yet") != std::string::npos);
+  cr_expect(late.err.find("no start can be on its way") != std::string::npos);
 }
 
 Test(tool, zone_out_warns_of_services_without_zone) {
@@ -258,6 +262,28 @@
   cr_expect(tool.err.find("\"capsule\" has no zone left") != std::string::npos);
 }
 
+Test(tool, waiting_for_a_verdict_ends_in_time) {
+  Duration longest = Duration(0);
+  Duration spent = Duration(0);
+  FakeEntry entry;
+  ToolFixture tool(
+      [&](uint16_t port, const Request& request) -> absl::StatusOr<Response> {
+        if (request.method != "POST") {
+          return entry(port, request);
+        }
+        return absl::DeadlineExceededError("lost");
+      });
+  tool.on_timeout = [&](Duration timeout) {
+    longest = std::max(longest, timeout);
+    spent += timeout;
+  };
+  cr_expect(tool.Run({"zone", "in", "delta-a", "--timeout-ms", "3000"}) ==
+            ExitCode::kUnreachable);
+  // Both entries are tried within the time that is left.
+  cr_expect(longest < std::chrono::milliseconds(1500));
+  cr_expect(spent <= std::chrono::seconds(3));
+}
+
 Test(tool, pages_are_printed) {
   ToolFixture tool(FakeEntry{});
   cr_expect(tool.Run({"status", "--watch", "--count", "2"}) == ExitCode::kOk);
