Keep the names of a finding alive while it is written

A finding on an unknown zone or region listed the known names through views of copies that had gone: the lambda that took them returned a string by value.

--- a/filbertwick/bundle/bundle_reader.cc
+++ b/filbertwick/bundle/bundle_reader.cc
@@ -60,8 +60,9 @@
     return;
   }
   std::vector<std::string_view> allowed;
-  std::ranges::transform(known, std::back_inserter(allowed),
-                         [](const NameType& it) { return it.value(); });
+  std::ranges::transform(
+      known, std::back_inserter(allowed),
+      [](const NameType& it) -> std::string_view { return it.value(); });
   place.Report(fmt::format("\"{}\" is not known, allowed are {}", name.value(),
                            fmt::join(allowed, ", ")));
 }
