Refuse messages too large for the receiver; send what waits before the exit

A message above the receiver's limit made it close the connection and lose all that waited there; it is counted and dropped at the sender now. A graceful stop also waits until messages to reachable peers are sent.

--- a/filbertwick/daemon/network_loop.h
+++ b/filbertwick/daemon/network_loop.h
@@ -72,8 +72,8 @@
   void Stop();
   /// Hands inputs over and waits for room; called on the core's thread.
   void Push(NetworkInputs inputs);
-  /// Accepts no more callers, waits until open responses are sent, at most
-  /// `limit`, then calls `done` on the network thread.
+  /// Accepts no more callers, waits until open responses and messages to peers
+  /// are sent, at most `limit`, then calls `done` on the network thread.
   void Drain(Duration limit, std::function<void()> done);
 
  private:
--- a/filbertwick/net/peer_counters.h
+++ b/filbertwick/net/peer_counters.h
@@ -19,6 +19,7 @@
         replayed(counters.Get("peer_dropped_replayed")),
         stale(counters.Get("peer_dropped_stale")),
         wrong_receiver(counters.Get("peer_dropped_wrong_receiver")),
+        too_large(counters.Get("peer_dropped_too_large")),
         queue_full(counters.Get("peer_dropped_queue_full")),
         unreachable(counters.Get("peer_dropped_unreachable")),
         no_address(counters.Get("peer_dropped_no_address")) {}
@@ -38,6 +39,8 @@
   /// Received from or for an incarnation that was replaced.
   Counter& stale;
   Counter& wrong_receiver;
+  /// Not sent: the receiver would take no message of that size.
+  Counter& too_large;
   /// Not sent: too many bytes wait for the peer.
   Counter& queue_full;
   /// Not sent, or lost with a connection.
--- a/filbertwick/net/peer_link.h
+++ b/filbertwick/net/peer_link.h
@@ -51,6 +51,10 @@
 
   /// Queues an encoded message, or drops and counts it.
   void Send(std::string body);
+  /// False while something is on its way to a peer that may be reachable.
+  bool idle() const {
+    return state_ == State::kPaused || (queue_.empty() && !write_active_);
+  }
   /// Drops what waits; sends nothing any more.
   void Close();
 
--- a/filbertwick/net/peer_transport.cc
+++ b/filbertwick/net/peer_transport.cc
@@ -2,6 +2,7 @@
 
 #include <sodium.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -129,6 +130,10 @@
       return;
     }
     std::string body = wire::EncodeMessage(message);
+    if (body.size() > wire::kMaxMessageBytes) {
+      counters_.too_large.Add();
+      return;
+    }
     if (GoesAsDatagram(message) && SendDatagram(to, peer, body)) {
       return;
     }
@@ -137,6 +142,12 @@
 
   const wire::InstanceAddress& address() const { return address_; }
 
+  bool idle() const {
+    return std::ranges::all_of(peers_, [](const auto& item) {
+      return !item.second.link || item.second.link->idle();
+    });
+  }
+
  private:
   /// Where a peer is, and the way to it.
   struct Peer {
@@ -492,6 +503,10 @@
   return impl_->address();
 }
 
+bool PeerTransport::idle() const {
+  return impl_->idle();
+}
+
 void PeerTransport::Send(const InstanceName& to, const wire::Message& message) {
   impl_->Send(to, message);
 }
--- a/filbertwick/net/peer_transport.h
+++ b/filbertwick/net/peer_transport.h
@@ -72,6 +72,9 @@
   /// Sends a message, at most once.
   void Send(const InstanceName& to, const wire::Message& message);
 
+  /// False while messages are on their way to peers that may be reachable.
+  bool idle() const;
+
  private:
   class Impl;
   explicit PeerTransport(std::shared_ptr<Impl> impl);
--- a/unit_tests/peer_transport_test.cc
+++ b/unit_tests/peer_transport_test.cc
@@ -337,6 +337,8 @@
   gone.info.address = a.info.address;
   gone.info.address.tcp_port = 1;
   cluster.List(gone);
+  a.transport->Send(gone.info.name, SampleForward(wire::kMaxMessageBytes));
+  cr_assert_eq(a.Count("peer_dropped_too_large"), 1);
   constexpr int kMessages = 40;
   for (int i = 0; i < kMessages; ++i) {
     a.transport->Send(gone.info.name, SampleForward(1'000'000));
