--- a/filbertwick/harness/scenario_functions.cc
+++ b/filbertwick/harness/scenario_functions.cc
@@ -210,6 +210,12 @@
   return 0;
 }
 
+/// start(name): a process that does not run
+int Start(lua_State* lua) {
+  Bed(lua).world().Start(ArgInstance(lua, 1));
+  return 0;
+}
+
 /// boot(): starts all and publishes the first bundle
 int Boot(lua_State* lua) {
   if (!Bed(lua).Boot(kBootLimit)) {
@@ -327,13 +333,12 @@
   return 1;
 }
 
-/// id_owned_by(entry [, prefix]) -> a job id that falls to the entry
+/// id_owned_by(entry) -> a job id, born now, that falls to the entry
 int IdOwnedBy(lua_State* lua) {
   Testbed& bed = Bed(lua);
   const InstanceName entry = ArgInstance(lua, 1);
-  const std::string prefix = luaL_optstring(lua, 2, "job");
   for (int n = 0; n < kMaxIds; ++n) {
-    const std::string id = fmt::format("{}-{}", prefix, n);
+    const std::string id = bed.callers().MakeId();
     if (OwnerOf(bed, JobId(id)) == entry.value()) {
       lua_pushstring(lua, id.c_str());
       return 1;
@@ -642,6 +647,7 @@
     NamedFunction{"starts_in", StartsIn},
     NamedFunction{"owner", Owner},
     NamedFunction{"id_owned_by", IdOwnedBy},
+    NamedFunction{"start", Start},
     NamedFunction{"kill", Kill},
     NamedFunction{"kill_worker", KillWorker},
     NamedFunction{"restart", Restart},
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -17,4 +17,4 @@
 }
 export -f lint_one
 git ls-files -co --exclude-standard '*.cc' | grep -v '^examples/embed/' |
-  xargs -P "$(nproc)" -I{} bash -c 'lint_one "$@"' _ {} "$build" "$stamps"
+  xargs -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one "$@"' _ {} "$build" "$stamps"
