--- /dev/null
+++ b/unit_tests/slopes_test.cc
@@ -0,0 +1,60 @@
+#include <criterion/criterion.h>
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+
+#include "bench/slopes/fit.h"
+#include "bench/slopes/rig.h"
+
+namespace {
+
+using filbertwick::bench::FitLine;
+using filbertwick::bench::Line;
+using filbertwick::bench::Point;
+using filbertwick::bench::Rig;
+using filbertwick::bench::Usage;
+namespace wire = filbertwick::wire;
+
+uint64_t Messages(const std::array<Usage::Traffic, Usage::kKinds>& kinds) {
+  uint64_t sum = 0;
+  for (const Usage::Traffic& it : kinds) {
+    sum += it.messages;
+  }
+  return sum;
+}
+
+}  // namespace
+
+Test(slopes, a_line_is_found_with_its_error) {
+  const std::array<Point, 4> exact = {{{1, 5}, {2, 7}, {3, 9}, {10, 23}}};
+  const Line line = FitLine(exact);
+  cr_assert_float_eq(line.slope, 2, 1e-9);
+  cr_assert_float_eq(line.intercept, 3, 1e-9);
+  cr_assert_float_eq(line.r2, 1, 1e-9);
+  cr_assert_float_eq(line.At(100), 203, 1e-9);
+  const std::array<Point, 3> bent = {{{0, 0}, {1, 3}, {2, 0}}};
+  cr_assert_float_eq(FitLine(bent).r2, 0, 1e-9);
+  cr_assert_float_eq(FitLine(bent).largest_error, 2.0 / 3, 1e-9);
+}
+
+Test(slopes, an_entry_probes_all_of_its_region_and_serves) {
+  Rig rig({.entries = 1, .sidecars = 11});
+  rig.Run(std::chrono::seconds(2));
+  // 11 sidecars, 8 probes a second.
+  cr_assert_eq(Messages(rig.usage().sent), 11U * 8 * 2);
+  cr_assert_eq(Messages(rig.usage().received), 11U * 8 * 2);
+  rig.Submit(5, 64);
+  rig.Run(std::chrono::seconds(1));
+  cr_assert_eq(rig.usage().jobs_complete, 1U);
+  cr_assert_eq(rig.usage().starts, 5U);
+}
+
+Test(slopes, a_sidecar_starts_what_it_is_offered) {
+  Rig rig({.role = wire::Role::kSidecar});
+  for (int n = 0; n < 6; ++n) {
+    rig.Offer(64);
+  }
+  rig.Run(std::chrono::seconds(1));
+  cr_assert_eq(rig.usage().starts, 6U);
+}
