--- a/filbertwick/tool/command_table.cc
+++ b/filbertwick/tool/command_table.cc
@@ -4,9 +4,10 @@
 
 std::span<const CommandFactory> CommandTable() {
   static constexpr CommandFactory kTable[] = {
-      &CreateCheckCommand,   &CreateDiffCommand,   &CreatePublishCommand,
-      &CreateZoneCommand,    &CreateStatusCommand, &CreateAuditCommand,
-      &CreateExplainCommand, &CreateSubmitCommand,
+      &CreateCheckCommand,    &CreateDiffCommand,   &CreatePublishCommand,
+      &CreateZoneCommand,     &CreateStatusCommand, &CreateAuditCommand,
+      &CreateExplainCommand,  &CreateSubmitCommand, &CreateDemoCommand,
+      &CreateScenarioCommand,
   };
   return kTable;
 }
