--- a/filbertwick/core/entry/registrar.cc
+++ b/filbertwick/core/entry/registrar.cc
@@ -177,9 +177,8 @@
   if (recorder_.IsPending(checkpoint_)) {
     return;
   }
-  checkpoint_ =
-      ChangeId(fmt::format("checkpoint/{}/{}", control.offset(),
-                           member_.settings().info.name.value()));
+  checkpoint_ = ChangeId(fmt::format("checkpoint/{}/{}", control.offset(),
+                                     member_.settings().info.name.value()));
   recorder_.Append(now, checkpoint_,
                    wire::Checkpoint{control.offset(), control.Encode()},
                    effects);
