--- a/filbertwick/core/entry/request_router.cc
+++ b/filbertwick/core/entry/request_router.cc
@@ -270,14 +270,22 @@
     effects.push_back(SendEffect{waiter.entry, std::move(answer)});
     return;
   }
+  const auto it = open_.find(waiter.request);
+  if (it == open_.end()) {
+    return;
+  }
+  // An owner before this one may have a copy of what is refused here.
+  const bool refused = answer.answer.outcome == wire::JobOutcome::kRefused &&
+                       it->second.is_job && it->second.several;
+  if (refused && !answer.not_owner) {
+    Schedule(waiter.request, it->second, now.monotonic + kLookAgain);
+    return;
+  }
   if (!answer.not_owner) {
     Close(waiter.request, answer, effects);
     return;
   }
-  const auto it = open_.find(waiter.request);
-  if (it != open_.end()) {
-    Schedule(waiter.request, it->second, now.monotonic);
-  }
+  Schedule(waiter.request, it->second, now.monotonic);
 }
 
 void RequestRouter::KeepRefusal(const Now& now,
