--- a/filbertwick/core/entry/job.h
+++ b/filbertwick/core/entry/job.h
@@ -69,6 +69,8 @@
   JobStage stage = JobStage::kRunning;
   /// Its service allows a second start of a single request.
   bool repeatable = false;
+  /// No earlier owner can have seen its key, so its body is the first one.
+  bool fresh = false;
   /// It is registered with the dispatcher.
   bool registered = false;
   Instant accepted_at;
--- a/filbertwick/core/entry/job_intake.cc
+++ b/filbertwick/core/entry/job_intake.cc
@@ -39,7 +39,8 @@
           runner,
           [this](const Now& now, Job& job) { GoOn(now, job); },
           [this](Job& job) {
-            runner_.Refuse(job, wire::Reason::kDigestMismatch, true,
+            // This body may have run before the one that was found.
+            runner_.Refuse(job, wire::Reason::kDigestMismatch, false,
                            Duration(0));
           }) {
   filters_ = {
@@ -125,7 +126,7 @@
     if (context_.member.settings().rules.digest_check &&
         job->spec.digest != spec.digest) {
       Answer(waiter, spec.id,
-             {wire::Reason::kDigestMismatch, true, Duration(0)});
+             {wire::Reason::kDigestMismatch, job->fresh, Duration(0)});
       return;
     }
     Attach(waiter, *job);
@@ -150,6 +151,7 @@
   Job& job = context_.jobs.Add(std::move(spec), shard, now.monotonic);
   job.repeatable = bundle->FindService(job.spec.service)->repeatable;
   job.waiters.push_back(waiter);
+  job.fresh = fresh;
   if (fresh) {
     runner_.Start(now.monotonic, job);
     return;
@@ -255,6 +257,7 @@
       item.spec = job.spec;
       item.remaining = job.deadline - now;
       item.ended = job.stage == JobStage::kEnded;
+      item.fresh = job.fresh;
       if (item.ended) {
         answer_bytes += AnswerBytes(job.answer);
         if (answer_bytes > kHandoverAnswerBytes) {
@@ -286,6 +289,7 @@
   wire::JobSpec spec = from.spec;
   spec.deadline = from.remaining;
   Job& job = context_.jobs.Add(std::move(spec), shard, now.monotonic);
+  job.fresh = from.fresh;
   job.tasks.resize(from.tasks.size());
   const bundle::Bundle* bundle = context_.member.control().bundle();
   const bundle::Service* service =
--- a/filbertwick/core/entry/job_runner.cc
+++ b/filbertwick/core/entry/job_runner.cc
@@ -144,11 +144,6 @@
         task.phase = TaskPhase::kStarted;
         context_.dispatcher.OnStarted(ref, now);
       }
-      if (job->stage == JobStage::kEnding) {
-        EndTask(now, *job, ref.index,
-                ResultOf(wire::TaskOutcome::kRan, "stopped"));
-        FinishIfDone(now, *job);
-      }
       return;
     case wire::TaskState::kEnded: {
       const bool succeeded =
@@ -181,7 +176,12 @@
   Task& task = job.tasks[index];
   const policy::TaskRef ref = {job.handle, index};
   LeaveSidecar(ref, task);
-  context_.dispatcher.OnEnded(ref, end, run_time, now);
+  // What was stopped speaks against its upstream only when it was overdue.
+  const bool stopped = job.stage == JobStage::kEnding &&
+                       end == policy::TaskEnd::kFailed &&
+                       job.reason != wire::Reason::kDeadline;
+  context_.dispatcher.OnEnded(ref, stopped ? policy::TaskEnd::kStopped : end,
+                              run_time, now);
   if (end == policy::TaskEnd::kNotStarted && job.stage == JobStage::kCensus) {
     task.phase = TaskPhase::kWaiting;
     return;
@@ -247,16 +247,9 @@
               ResultOf(census ? wire::TaskOutcome::kMayHaveRun
                               : wire::TaskOutcome::kNotRun,
                        ""));
-    } else if (task.phase == TaskPhase::kOffered) {
-      WithdrawTask(now, job, index, true);
-    } else if (task.phase == TaskPhase::kStarted) {
+    } else if (task.phase != TaskPhase::kEnded) {
+      // Its sidecar tells whether it ran: the upstream may refuse it yet.
       WithdrawTask(now, job, index, true);
-      // A task that did not end in time speaks against its upstream.
-      const auto end = reason == wire::Reason::kDeadline
-                           ? policy::TaskEnd::kLost
-                           : policy::TaskEnd::kStopped;
-      context_.dispatcher.OnEnded({job.handle, index}, end, Duration(0), now);
-      EndTask(now, job, index, ResultOf(wire::TaskOutcome::kRan, "stopped"));
     }
   }
   FinishIfDone(now, job);
--- a/filbertwick/wire/message.h
+++ b/filbertwick/wire/message.h
@@ -362,12 +362,14 @@
   /// Time left until the deadline; negative when it has ended.
   Duration remaining{0};
   bool ended = false;
+  /// No earlier owner can have seen its key.
+  bool fresh = false;
   JobAnswer answer;
   std::vector<HandoverTask> tasks;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(spec, remaining, ended, answer, tasks);
+    archive(spec, remaining, ended, fresh, answer, tasks);
   }
 };
 
