Revert "Slow start only beside upstreams that are known to work"

Cause: with it scenarios/burst.lua does not end within 40 s; the entry spends its time in JobRunner::Tick under wakeups, while NextChange() of the dispatcher never asks for one that is due, so the fault shows in the entry, but its cause is not found. Without it planned_stop_of_an_entry.lua fails (14 jobs wait for the first task of new upstreams), as before. To be taken up again once the wakeups are understood.

--- a/filbertwick/core/policy/service_scheduler.cc
+++ b/filbertwick/core/policy/service_scheduler.cc
@@ -75,10 +75,6 @@
   if (!upstream.present) {
     upstream.run_time = RunTimeEstimator(Duration(0));
     RestartSlowly(upstream);
-    // In a service that is new as a whole nothing else could take the load.
-    if (run_time_.samples() == 0) {
-      upstream.allowed = kAllAllowed;
-    }
     reservations_due_ = true;
   }
   upstream.info = info;
