Hand over whether the memory of a shard is whole; end deadlines with the job

Cause: after a planned stop a job without a birth time went through a census at the successor, and with young sidecars was answered worker_lost; a job being ended kept its deadline, so its entry woke without pause (scenarios/burst.lua).

--- a/filbertwick/core/entry/handover.cc
+++ b/filbertwick/core/entry/handover.cc
@@ -114,6 +114,11 @@
                               const InstanceName& to,
                               std::span<const wire::ShardId> shards,
                               Effects& effects) {
+  const Duration window = context_.DedupeWindow();
+  const bool complete = !context_.jobs.ForgotLately(now.monotonic, window) &&
+                        std::ranges::all_of(shards, [&](wire::ShardId shard) {
+                          return intake_.KnowsAll(now.monotonic, shard);
+                        });
   // From here on nothing of these shards starts under this entry.
   const std::vector<wire::ShardEpoch> released =
       context_.ownership.Release(shards, to);
@@ -123,7 +128,8 @@
   wire::Handover handover;
   handover.incarnation = context_.member.FindView(to)->incarnation;
   handover.shards = released;
-  handover.jobs = intake_.Export(now.monotonic, released);
+  handover.complete = complete;
+  intake_.Export(now.monotonic, released, handover);
   effects.push_back(SendEffect{to, handover});
   sent_.emplace(to, Sent{std::move(handover), now.monotonic + kRepeat});
   // The waiters of the jobs ask the successor.
@@ -169,7 +175,7 @@
     return {};
   }
   std::vector<wire::ShardEpoch> accepted =
-      context_.ownership.Accept(handover.shards);
+      context_.ownership.Accept(handover.shards, handover.complete);
   // Only the memory of shards taken by this very message counts.
   std::vector<wire::HandoverJob> jobs;
   for (const wire::HandoverJob& job : handover.jobs) {
--- a/filbertwick/core/entry/job_intake.cc
+++ b/filbertwick/core/entry/job_intake.cc
@@ -98,6 +98,15 @@
   return Refusal{admission.reason, true, admission.retry_after};
 }
 
+bool JobIntake::KnowsAll(Instant now, wire::ShardId shard) const {
+  const ShardTerm* term = context_.ownership.FindTerm(shard);
+  // After a whole window what an earlier owner started is past it.
+  return term != nullptr &&
+         (term->knows_all ||
+          (term->serving &&
+           term->serving_since + context_.DedupeWindow() <= now));
+}
+
 bool JobIntake::IsFresh(const Now& now, const wire::JobSpec& spec) const {
   const ShardTerm* term = context_.ownership.FindTerm(ShardOf(spec.id));
   const Duration window = context_.DedupeWindow();
@@ -105,13 +114,12 @@
       context_.jobs.MayBeForgotten(spec.id, now.monotonic, window)) {
     return false;
   }
-  if (term->first_ever) {
+  if (KnowsAll(now.monotonic, ShardOf(spec.id))) {
     return true;
   }
   const auto birth = BirthOf(spec.id);
   if (!birth) {
-    // Whatever an earlier owner started is past the window by then.
-    return term->serving_since + window <= now.monotonic;
+    return false;
   }
   const int64_t skew = Millis(context_.timing().wall_clock_skew);
   return birth->unix_millis > term->serving_since_wall.unix_millis + skew &&
@@ -240,10 +248,9 @@
   census_.OnReply(now, from, reply);
 }
 
-std::vector<wire::HandoverJob> JobIntake::Export(
-    Instant now,
-    std::span<const wire::ShardEpoch> shards) {
-  std::vector<wire::HandoverJob> exported;
+void JobIntake::Export(Instant now,
+                       std::span<const wire::ShardEpoch> shards,
+                       wire::Handover& handover) {
   size_t answer_bytes = 0;
   for (const wire::ShardEpoch& shard : shards) {
     for (const policy::JobHandle handle :
@@ -251,6 +258,7 @@
       const Job& job = *context_.jobs.Find(handle);
       // A job whose census is open is asked for anew by the next owner.
       if (job.stage == JobStage::kCensus) {
+        handover.complete = false;
         continue;
       }
       wire::HandoverJob item;
@@ -261,6 +269,7 @@
       if (item.ended) {
         answer_bytes += AnswerBytes(job.answer);
         if (answer_bytes > kHandoverAnswerBytes) {
+          handover.complete = false;
           continue;
         }
         item.answer = job.answer;
@@ -278,10 +287,9 @@
                                                 : wire::TaskState::kEnded;
         item.tasks.push_back(std::move(state));
       }
-      exported.push_back(std::move(item));
+      handover.jobs.push_back(std::move(item));
     }
   }
-  return exported;
 }
 
 Job& JobIntake::Restore(const Now& now, const wire::HandoverJob& from) {
--- a/filbertwick/core/entry/job_intake.h
+++ b/filbertwick/core/entry/job_intake.h
@@ -45,10 +45,13 @@
                      const wire::Sender& from,
                      const wire::CensusReply& reply);
 
-  /// What an earlier owner must tell of the jobs of some shards.
-  std::vector<wire::HandoverJob> Export(
-      Instant now,
-      std::span<const wire::ShardEpoch> shards);
+  /// Adds what the next owner of some shards must know of their jobs.
+  void Export(Instant now,
+              std::span<const wire::ShardEpoch> shards,
+              wire::Handover& handover);
+  /// True when no job of the shard that is not known here can have been started
+  /// within the dedupe window.
+  bool KnowsAll(Instant now, wire::ShardId shard) const;
   /// Takes over jobs of an earlier owner; they go on once served here.
   void Import(const Now& now, std::span<const wire::HandoverJob> jobs);
   /// Work of these shards may start now.
--- a/filbertwick/core/entry/job_runner.cc
+++ b/filbertwick/core/entry/job_runner.cc
@@ -236,6 +236,7 @@
   const bool census = job.stage == JobStage::kCensus;
   job.stage = JobStage::kEnding;
   job.ending_at = now;
+  context_.jobs.NoteEnding(job);
   job.reason = reason;
   ending_.insert(job.handle);
   for (uint32_t index = 0; index < job.tasks.size(); ++index) {
--- a/filbertwick/core/entry/job_table.cc
+++ b/filbertwick/core/entry/job_table.cc
@@ -47,6 +47,7 @@
   bytes_ += PayloadBytes(job->spec);
   by_id_[job->spec.id] = handle;
   deadlines_.insert({job->deadline, handle});
+  ++running_;
   return *(jobs_[handle] = std::move(job));
 }
 
@@ -60,10 +61,15 @@
   return it == jobs_.end() ? nullptr : it->second.get();
 }
 
+void JobTable::NoteEnding(const Job& job) {
+  deadlines_.erase({job.deadline, job.handle});
+}
+
 void JobTable::NoteEnded(Job& job, Instant now) {
   assert(job.stage == JobStage::kEnded);
   job.ending_at = now;
-  deadlines_.erase({job.deadline, job.handle});
+  NoteEnding(job);
+  --running_;
   bytes_ -= PayloadBytes(job.spec);
   job.spec.payloads.clear();
   job.spec.payloads.shrink_to_fit();
@@ -85,7 +91,8 @@
     bytes_ -= AnswerBytes(job.answer);
   } else {
     bytes_ -= PayloadBytes(job.spec);
-    deadlines_.erase({job.deadline, handle});
+    NoteEnding(job);
+    --running_;
   }
   by_id_.erase(job.spec.id);
   jobs_.erase(it);
@@ -105,6 +112,7 @@
     }
     if (job != nullptr && !old) {
       // A key dropped early must not pass for a new one.
+      any_forgotten_at_ = now;
       if (const auto birth = BirthOf(job->spec.id)) {
         forgotten_birth_ = std::max(forgotten_birth_, *birth);
       } else {
@@ -125,6 +133,11 @@
   return forgotten_at_ != Instant::min() && now < forgotten_at_ + window;
 }
 
+bool JobTable::ForgotLately(Instant now, Duration window) const {
+  return any_forgotten_at_ != Instant::min() &&
+         now < any_forgotten_at_ + window;
+}
+
 std::vector<policy::JobHandle> JobTable::TakeOverdue(Instant now) {
   std::vector<policy::JobHandle> overdue;
   for (const Due& due : deadlines_) {
--- a/filbertwick/core/entry/job_table.h
+++ b/filbertwick/core/entry/job_table.h
@@ -33,6 +33,8 @@
   Job* Find(const JobId& id);
   /// The job, or null.
   Job* Find(policy::JobHandle handle);
+  /// Notes that a job is being ended: its deadline no longer matters.
+  void NoteEnding(const Job& job);
   /// Notes that a job ended, so that its payloads go and its age counts.
   void NoteEnded(Job& job, Instant now);
   /// Drops a job, forgetting its key.
@@ -51,8 +53,10 @@
   /// True when a job of this id may have been dropped within `window` to stay
   /// within the bound of bytes, so that its absence proves nothing.
   bool MayBeForgotten(const JobId& id, Instant now, Duration window) const;
+  /// True when any job was dropped early within `window`.
+  bool ForgotLately(Instant now, Duration window) const;
   /// Jobs that have not ended.
-  uint64_t running() const { return deadlines_.size(); }
+  uint64_t running() const { return running_; }
   /// Jobs kept, ended ones included.
   size_t size() const { return jobs_.size(); }
   /// Bytes of payloads and answers kept.
@@ -79,10 +83,12 @@
   /// Ended jobs, oldest end first.
   std::deque<policy::JobHandle> ended_;
   uint64_t bytes_ = 0;
+  uint64_t running_ = 0;
   /// Newest birth of a UUIDv7 key that was dropped early.
   WallTime forgotten_birth_;
-  /// When any other key was last dropped early.
+  /// When a key of another kind, and when any key was last dropped early.
   Instant forgotten_at_ = Instant::min();
+  Instant any_forgotten_at_ = Instant::min();
 };
 
 }  // namespace filbertwick::core
--- a/filbertwick/core/state/control_state.cc
+++ b/filbertwick/core/state/control_state.cc
@@ -27,7 +27,7 @@
     ++data_.offset;
     return {false, "this change was folded before"};
   }
-  const Verdict verdict = std::visit(
+  Verdict verdict = std::visit(
       [&](const auto& body) { return Fold(record, body); }, record.body);
   Remember(record.change, verdict);
   ForgetDepartures(record.written);
--- a/filbertwick/core/state/knowledge.cc
+++ b/filbertwick/core/state/knowledge.cc
@@ -29,7 +29,7 @@
 Knowledge::Knowledge(RegionName region) : region_(std::move(region)) {}
 
 Verdict Knowledge::Apply(const wire::ControlRecord& record) {
-  const Verdict verdict = control_.Apply(record);
+  Verdict verdict = control_.Apply(record);
   kept_.push_back(record);
   // The state of a checkpoint is of use to readers of the stream only.
   if (auto* body = std::get_if<wire::Checkpoint>(&kept_.back().body)) {
--- a/filbertwick/core/state/ownership.cc
+++ b/filbertwick/core/state/ownership.cc
@@ -56,12 +56,12 @@
   if (former == region->formers.end() || former->second != self.incarnation) {
     return;
   }
-  for (wire::ShardId shard = 0; shard < region->epochs.size(); ++shard) {
+  for (wire::ShardId shard = 0; shard < wire::kShardsPerRegion; ++shard) {
     const wire::Epoch& epoch = member_.knowledge().EpochOf(shard);
     const bool by_reset = epoch.generation == region->generation &&
                           epoch.number == 1 && epoch.owner == self.name;
     if (by_reset && !terms_.contains(shard)) {
-      terms_[shard] = {.epoch = epoch, .first_ever = epoch.generation == 1};
+      terms_[shard] = {.epoch = epoch, .knows_all = epoch.generation == 1};
       member_.ProbeSoon();
     }
   }
@@ -204,7 +204,8 @@
 }
 
 std::vector<wire::ShardEpoch> Ownership::Accept(
-    std::span<const wire::ShardEpoch> shards) {
+    std::span<const wire::ShardEpoch> shards,
+    bool knows_all) {
   const InstanceName& self = member_.settings().info.name;
   std::vector<wire::ShardEpoch> accepted;
   for (const wire::ShardEpoch& given : shards) {
@@ -213,7 +214,8 @@
       continue;
     }
     member_.RaiseEpoch(given.shard, given.epoch);
-    terms_[given.shard] = {.epoch = given.epoch, .handed_over = true};
+    terms_[given.shard] = {
+        .epoch = given.epoch, .handed_over = true, .knows_all = knows_all};
     accepted.push_back(given);
   }
   return accepted;
--- a/filbertwick/core/state/ownership.h
+++ b/filbertwick/core/state/ownership.h
@@ -21,8 +21,9 @@
   /// The owner before gave the shard itself, so nothing has to lapse.
   bool handed_over = false;
   bool serving = false;
-  /// Nobody served the shard before.
-  bool first_ever = false;
+  /// What is not known here was never started: nobody served the shard before,
+  /// or who did gave all it knew.
+  bool knows_all = false;
   Instant serving_since = Instant::min();
   WallTime serving_since_wall = {};
 };
@@ -61,8 +62,8 @@
                                         const InstanceName& to);
   /// Takes shards that their owner gave up; those known under a higher epoch
   /// are left out. Returns the ones taken.
-  std::vector<wire::ShardEpoch> Accept(
-      std::span<const wire::ShardEpoch> shards);
+  std::vector<wire::ShardEpoch> Accept(std::span<const wire::ShardEpoch> shards,
+                                       bool knows_all);
 
   /// Stops taking shards over, for a stopping entry.
   void StopTaking() { takes_ = false; }
--- a/filbertwick/wire/message.h
+++ b/filbertwick/wire/message.h
@@ -379,11 +379,13 @@
   /// The incarnation of the successor that is meant.
   Incarnation incarnation = 0;
   std::vector<ShardEpoch> shards;
+  /// No other job of these shards was started within the dedupe window.
+  bool complete = false;
   std::vector<HandoverJob> jobs;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(incarnation, shards, jobs);
+    archive(incarnation, shards, complete, jobs);
   }
 };
 
