--- a/filbertwick/core/entry/entry_core.cc
+++ b/filbertwick/core/entry/entry_core.cc
@@ -30,6 +30,10 @@
 /// Shortest time between two wakeups that nothing urgent asks for.
 constexpr Duration kShortestPause = std::chrono::milliseconds(1);
 
+/// Shortest time between the word to stop and the end: callers that the
+/// balancer still sends here are passed on until it has seen the readiness go.
+constexpr Duration kStopLinger = std::chrono::milliseconds(500);
+
 }  // namespace
 
 /// The controllers of an entry and the order in which they run.
@@ -178,6 +182,7 @@
   bool stopping_ = false;
   bool stopped_ = false;
   Instant stop_by_ = Instant::max();
+  Instant linger_until_ = Instant::max();
 };
 
 void EntryCore::Impl::Begin() {
@@ -379,6 +384,7 @@
   }
   stopping_ = true;
   stop_by_ = now_.monotonic + event.deadline;
+  linger_until_ = now_.monotonic + std::min(kStopLinger, event.deadline / 2);
   ownership_->StopTaking();
   handover_->GiveAll();
   member_->AnnounceStop();
@@ -392,7 +398,8 @@
   const bool overdue = now_.monotonic >= stop_by_;
   const bool alone = !handover_->HasTarget(now_.monotonic);
   const bool given = alone || ownership_->Held().empty();
-  const bool drained = given && handover_->idle() && router_->open() == 0 &&
+  const bool drained = given && now_.monotonic >= linger_until_ &&
+                       handover_->idle() && router_->open() == 0 &&
                        jobs_.running() == 0;
   if (overdue) {
     router_->AnswerAll(*effects_);
--- a/filbertwick/tool/demo/demo_command.cc
+++ b/filbertwick/tool/demo/demo_command.cc
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <memory>
 #include <utility>
 
@@ -31,7 +32,7 @@
   }
   std::ranges::sort(values);
   const auto last = static_cast<double>(values.size() - 1);
-  return values[static_cast<size_t>(share * last + 0.5)];
+  return values[static_cast<size_t>(std::lround(share * last))];
 }
 
 /// Runs a small deployment in this process and shows what it does.
--- a/filbertwick/tool/demo/demo_fleet.cc
+++ b/filbertwick/tool/demo/demo_fleet.cc
@@ -86,8 +86,8 @@
   }
   log_ = *std::move(log);
   for (int i = 0; i < kEntries; ++i) {
-    const auto status = StartDaemon(wire::Role::kEntry,
-                                    fmt::format("entry-{}", i + 1), kZones[i]);
+    auto status = StartDaemon(wire::Role::kEntry,
+                              fmt::format("entry-{}", i + 1), kZones[i]);
     if (!status.ok()) {
       return status;
     }
@@ -151,7 +151,7 @@
 
 absl::StatusOr<std::unique_ptr<DemoFleet>> DemoFleet::Create() {
   auto impl = std::make_unique<Impl>();
-  const auto status = impl->Start();
+  auto status = impl->Start();
   if (!status.ok()) {
     return status;
   }
