Refuse by deadline only by measured run times

Cause: an entry that took shards over in a planned stop had measured nothing and refused large jobs as overloaded by the assumed run time; a request that its first owner had held too then waited for its deadline and was answered may_have_run. daemon_test a_graceful_stop_cuts_no_request failed in about half of its runs. Ruled out before: a stop ending before late callers (a linger of 500 ms, kept), a census for keys without birth time. Change: no work counts as ahead before a task of the service has succeeded; dispatcher_test holds it.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 test: build
 	scripts/check_format.sh
 	scripts/lint.sh $(BUILD)
-	@echo "Known red, reported only (KNOWN-RED.txt):"
+	@echo "Known red tests, reported only; KNOWN-RED.txt lists them if any:"
 	-ctest --test-dir $(BUILD) -L known_red --no-tests=ignore
 	ctest --test-dir $(BUILD) -LE known_red --output-on-failure -j 4
 
--- a/filbertwick/core/policy/service_scheduler.cc
+++ b/filbertwick/core/policy/service_scheduler.cc
@@ -395,7 +395,9 @@
 
 Duration ServiceScheduler::WorkAhead(bundle::DeadlineClass deadline_class,
                                      uint32_t tasks) const {
-  return queue_.WorkAhead(deadline_class, run_time_.mean() * tasks);
+  // Before anything is measured there is nothing to refuse by.
+  return proven_ ? queue_.WorkAhead(deadline_class, run_time_.mean() * tasks)
+                 : Duration(0);
 }
 
 void ServiceScheduler::Hash(Hasher& hasher) const {
--- a/unit_tests/dispatcher_test.cc
+++ b/unit_tests/dispatcher_test.cc
@@ -164,6 +164,21 @@
   dispatcher.OnEnded(task, end, milliseconds(9), now);
 }
 
+Test(dispatcher, refuses_by_deadline_only_by_what_was_measured) {
+  auto dispatcher = MakeDispatcher(1);
+  AddWaiting(*dispatcher, 1, Shape(30));
+  JobShape shape = Shape(60);
+  shape.deadline = seconds(20);
+  // Run times are not known yet: a guess must not turn callers away.
+  cr_assert(dispatcher->Admit(shape, kStart).reason == wire::Reason::kNone);
+  const auto first = PlaceAll(*dispatcher);
+  dispatcher->OnStarted(first[0].task, kStart);
+  dispatcher->OnEnded(first[0].task, TaskEnd::kSucceeded, milliseconds(900),
+                      kStart);
+  cr_assert(dispatcher->Admit(shape, kStart).reason ==
+            wire::Reason::kOverloaded);
+}
+
 Test(dispatcher, a_new_upstream_starts_with_one_task) {
   auto dispatcher = MakeDispatcher(1);
   AddWaiting(*dispatcher, 1, Shape(20));
