Let the recorder append joins for both roles

Cause: entry and sidecar had the same code for a join that is missing. Change: Recorder::JoinIfMissing serves both; no behaviour changes.

--- a/filbertwick/core/entry/entry_core.cc
+++ b/filbertwick/core/entry/entry_core.cc
@@ -87,7 +87,6 @@
   void Begin();
   void RunControllers();
   void RunStop();
-  void JoinIfMissing();
   void RecordEjections();
   void OnFolded(wire::LogOffset offset,
                 const wire::ControlRecord& record,
@@ -177,7 +176,6 @@
   bool urgent_ = false;
   Instant round_at_ = Instant::min();
   uint64_t takes_ = 0;
-  uint64_t joins_ = 0;
   uint64_t ejections_ = 0;
   bool stopping_ = false;
   bool stopped_ = false;
@@ -247,7 +245,9 @@
     registrar_->Tick(now_, *effects_);
     upstreams_->Tick(at);
     zones_->Tick(at);
-    JoinIfMissing();
+    if (!stopping_) {
+      recorder_->JoinIfMissing(now_, *effects_);
+    }
     RecordEjections();
     jobs_.Expire(at, context_->DedupeWindow());
   }
@@ -265,24 +265,6 @@
   }
 }
 
-void EntryCore::Impl::JoinIfMissing() {
-  const wire::InstanceInfo* own = FindPeer(settings_.info.name);
-  if (stopping_ || (own != nullptr && *own == settings_.info)) {
-    return;
-  }
-  const auto change = [&] {
-    return ChangeId(fmt::format("join/{}/{:016x}/{}",
-                                settings_.info.name.value(),
-                                settings_.info.incarnation, joins_));
-  };
-  // A join that was folded and undone since needs a new change id.
-  while (member_->control().HasFolded(change())) {
-    ++joins_;
-  }
-  recorder_->Append(now_, change(), wire::JoinInstance{settings_.info},
-                    *effects_);
-}
-
 void EntryCore::Impl::RecordEjections() {
   for (policy::EjectionChange& ejection : dispatcher_->TakeEjections()) {
     const ChangeId change(
--- a/filbertwick/core/sidecar/sidecar_core.cc
+++ b/filbertwick/core/sidecar/sidecar_core.cc
@@ -73,7 +73,6 @@
  private:
   void Begin();
   void RunControllers();
-  void JoinIfMissing();
   void RunStop();
 
   void On(WakeupEvent&) {}
@@ -145,7 +144,6 @@
   std::unique_ptr<TaskRunner> runner_;
   std::unique_ptr<Recorder> recorder_;
   Instant round_at_ = Instant::min();
-  uint64_t joins_ = 0;
   bool stopping_ = false;
   bool stopped_ = false;
   Instant stop_by_ = Instant::max();
@@ -181,7 +179,9 @@
   }
   if (at >= round_at_) {
     round_at_ = at + kRound;
-    JoinIfMissing();
+    if (!stopping_) {
+      recorder_->JoinIfMissing(now_, *effects_);
+    }
   }
   recorder_->Tick(now_, *effects_);
   runner_->Tick(at, *effects_);
@@ -190,24 +190,6 @@
   }
 }
 
-void SidecarCore::Impl::JoinIfMissing() {
-  const wire::InstanceInfo* own = FindPeer(settings_.info.name);
-  if (stopping_ || (own != nullptr && *own == settings_.info)) {
-    return;
-  }
-  const auto change = [&] {
-    return ChangeId(fmt::format("join/{}/{:016x}/{}",
-                                settings_.info.name.value(),
-                                settings_.info.incarnation, joins_));
-  };
-  // A join that was folded and undone since needs a new change id.
-  while (member_->control().HasFolded(change())) {
-    ++joins_;
-  }
-  recorder_->Append(now_, change(), wire::JoinInstance{settings_.info},
-                    *effects_);
-}
-
 void SidecarCore::Impl::On(StopEvent& event) {
   if (stopping_) {
     return;
--- a/filbertwick/core/state/recorder.cc
+++ b/filbertwick/core/state/recorder.cc
@@ -1,5 +1,7 @@
 #include "filbertwick/core/state/recorder.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -43,6 +45,23 @@
   pending_[change] = {std::move(record), retry_at};
 }
 
+void Recorder::JoinIfMissing(const Now& now, Effects& effects) {
+  const wire::InstanceInfo& self = member_.settings().info;
+  const auto it = member_.control().instances().find(self.name);
+  if (it != member_.control().instances().end() && it->second == self) {
+    return;
+  }
+  const auto change = [&] {
+    return ChangeId(fmt::format("join/{}/{:016x}/{}", self.name.value(),
+                                self.incarnation, joins_));
+  };
+  // A join that was folded and undone since needs a new change id.
+  while (member_.control().HasFolded(change())) {
+    ++joins_;
+  }
+  Append(now, change(), wire::JoinInstance{self}, effects);
+}
+
 void Recorder::OnFolded(const ChangeId& change) {
   pending_.erase(change);
 }
--- a/filbertwick/core/state/recorder.h
+++ b/filbertwick/core/state/recorder.h
@@ -25,6 +25,8 @@
               ChangeId change,
               wire::ControlBody body,
               Effects& effects);
+  /// Appends a join while the fold does not name this very instance.
+  void JoinIfMissing(const Now& now, Effects& effects);
   /// Appends a record of somebody else's.
   void Append(const Now& now, wire::ControlRecord record, Effects& effects);
 
@@ -53,6 +55,8 @@
 
   const Member& member_;
   std::map<ChangeId, Pending> pending_;
+  /// Joins of this instance that were folded and undone since.
+  uint64_t joins_ = 0;
 };
 
 }  // namespace filbertwick::core
