Start an entry of the model again once its planned stop has ended

The trace shows no start of entry-3 after its planned stop: the schedule asks for the start 1.5 s after the stop, a job behind the paused sidecar keeps the process draining for the whole deadline of 3 s, and World::Start does nothing while a process runs. Healing falls into the same time, so nobody starts it later and the check sees an instance that is not there. Ruled out: the core. It left no trace after its exit, and entries 1 and 2 never stopped probing it.

Change: a start asked for during a planned stop follows the exit, as with any supervisor.

--- a/filbertwick/harness/world.cc
+++ b/filbertwick/harness/world.cc
@@ -42,6 +42,10 @@
     std::unique_ptr<core::Core> core;
     std::unique_ptr<Executor> executor;
     bool leaving = false;
+    /// A planned stop is under way.
+    bool stopping = false;
+    /// Started again as soon as the planned stop ends, as a supervisor does.
+    bool start_after_stop = false;
     ProcessClock clock;
     uint64_t life = 0;
     bool paused = false;
@@ -164,6 +168,7 @@
 
 void World::Impl::Start(Process& process) {
   if (process.core) {
+    process.start_after_stop = process.stopping;
     return;
   }
   ++process.life;
@@ -199,6 +204,8 @@
   Trace(process, "**", "gone");
   ++process.life;
   process.core.reset();
+  process.stopping = false;
+  process.start_after_stop = false;
   process.paused = false;
   process.hold_next = false;
   process.holding = false;
@@ -426,7 +433,11 @@
   // The process ends once the event that stopped it has been handled.
   loop.After(Duration(0), [this, &process, life = process.life] {
     if (process.life == life) {
+      const bool start = process.start_after_stop;
       Kill(process);
+      if (start) {
+        Start(process);
+      }
     }
   });
 }
@@ -520,7 +531,9 @@
 }
 
 void World::Stop(const InstanceName& name, Duration deadline) {
-  impl_->Deliver(impl_->Find(name), core::StopEvent{deadline});
+  Impl::Process& process = impl_->Find(name);
+  process.stopping = process.core != nullptr;
+  impl_->Deliver(process, core::StopEvent{deadline});
 }
 
 void World::SetLeaving(const InstanceName& sidecar, bool leaving) {
--- a/filbertwick/harness/world.h
+++ b/filbertwick/harness/world.h
@@ -90,7 +90,8 @@
   /// Sets who watches.
   void SetHooks(WorldHooks hooks);
 
-  /// Starts an instance as a new incarnation; nothing when it runs.
+  /// Starts an instance as a new incarnation: at once when none runs, at the
+  /// end of a planned stop, else not at all.
   void Start(const InstanceName& name);
   /// Starts all instances within `spread`.
   void StartAll(Duration spread);
--- a/unit_tests/harness_test.cc
+++ b/unit_tests/harness_test.cc
@@ -72,6 +72,13 @@
       seen_.lines.push_back(name + " down");
     } else if (std::holds_alternative<core::AppendFailedEvent>(event)) {
       seen_.lines.push_back(name + " failed");
+    } else if (const auto* stop = std::get_if<core::StopEvent>(&event)) {
+      stop_at_ = now.monotonic + stop->deadline;
+      next_ = stop_at_;
+      return;
+    }
+    if (now.monotonic >= stop_at_) {
+      effects.push_back(core::StoppedEffect{});
     }
   }
 
@@ -86,6 +93,7 @@
   core::NodeSettings settings_;
   Seen& seen_;
   Instant next_ = Instant::min();
+  Instant stop_at_ = Instant::max();
 };
 
 /// Two entries with toy cores.
@@ -205,6 +213,21 @@
   cr_assert_eq(broken, 2);
 }
 
+Test(harness, a_start_during_a_planned_stop_follows_the_exit) {
+  Seen seen;
+  auto world = MakeWorld(seen);
+  world->Start(first_entry);
+  world->Run(kTick);
+  world->Stop(first_entry, 10 * kTick);
+  world->Run(kTick);
+  const core::Core* old = world->FindCore(first_entry);
+  world->Start(first_entry);
+  world->Run(kTick);
+  cr_assert(world->FindCore(first_entry) == old, "it still drains");
+  world->Run(20 * kTick);
+  cr_assert(world->FindCore(first_entry) != nullptr, "nobody started it again");
+}
+
 Test(harness, the_log_delivers_and_fails_as_told) {
   Seen seen;
   auto world = MakeWorld(seen);
