Apply the configuration's limits on headers and idle connections; send offers in order of names

Change: http::Server takes RequestLimits that may change while it runs; the entry applies what the configuration in force says, within bounds. The header has a deadline of its own, the body keeps that of the whole request. Offers go out in order of the sidecars' names.

Tests: http_server a_slow_header_times_out_before_a_slow_body, limits_change_for_requests_that_follow; the codec test reads all four limits.

--- a/filbertwick/core/direct/configuration.h
+++ b/filbertwick/core/direct/configuration.h
@@ -30,6 +30,7 @@
 
 /// Limits on callers' requests.
 struct RequestLimits {
+  uint32_t max_header_bytes = 16 * 1024;
   size_t max_body_bytes = 256 * 1024;
   Duration header_timeout = std::chrono::seconds(3);
   Duration idle_timeout = std::chrono::seconds(15);
--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -84,7 +84,8 @@
                                    DirectJob& job,
                                    std::span<const size_t> tasks,
                                    std::span<SidecarView* const> places) {
-  std::map<SidecarView*, Offer> offers;
+  // By name, so that the order of messages repeats.
+  std::map<InstanceName, Offer> offers;
   for (size_t n = 0; n < tasks.size(); ++n) {
     JobTask& task = job.tasks[tasks[n]];
     const JobStep& step = job.spec.steps[task.step];
@@ -95,16 +96,17 @@
     const TaskRun run = {task.name, task.run};
     jobs_.Bind(run, {job.number, tasks[n]});
     view.free -= step.needs;
-    offers[&view].tasks.push_back({run, step.needs, step.estimate.count()});
+    offers[view.name].tasks.push_back({run, step.needs, step.estimate.count()});
   }
   ++job.next_run;
-  for (auto& [view, offer] : offers) {
+  for (auto& [name, offer] : offers) {
     const uint64_t id = ++last_offer_;
+    SidecarView& view = sidecars_.at(name);
     offer.id = id;
     offer.spec = job.spec.spec;
     offer.service = job.spec.service;
-    view->offers[id] = {std::move(offer), now};
-    view->send_due = true;
+    view.offers[id] = {std::move(offer), now};
+    view.send_due = true;
   }
 }
 
--- a/filbertwick/http/server.cc
+++ b/filbertwick/http/server.cc
@@ -32,7 +32,6 @@
 using ErrorCode = boost::system::error_code;
 using Parser = beast::http::request_parser<beast::http::string_body>;
 
-constexpr uint32_t kMaxHeaderBytes = 16 * 1024;
 constexpr size_t kHeadReadBytes = 4 * 1024;
 constexpr size_t kBodyReadBytes = 64 * 1024;
 constexpr int kAcceptBacklog = 1024;
@@ -124,6 +123,9 @@
   /// Ends everything; called on the context's thread, no hook runs after it.
   void Shutdown();
   /// Stops accepting, on the context's thread.
+  void SetLimits(const RequestLimits& limits) {
+    static_cast<RequestLimits&>(settings_) = limits;
+  }
   void PostStop();
 
   uint16_t port() const { return port_; }
@@ -141,7 +143,7 @@
   asio::io_context& context_;
   Tcp::acceptor acceptor_;
   asio::steady_timer sweep_timer_;
-  const ServerSettings settings_;
+  ServerSettings settings_;
   const Handler handler_;
   const GoneHook gone_;
   std::unordered_set<std::shared_ptr<Connection>> connections_;
@@ -187,7 +189,7 @@
   /// Parses what is read; true when something changed.
   bool Parse();
   void ResetRequest();
-  void SendContinue();
+  void OnHeaderDone();
   void Handle();
   void Write(Response response);
   void WriteRest(size_t written);
@@ -200,6 +202,8 @@
   std::optional<Parser> parser_;
   State state_ = State::kReading;
   Instant deadline_;
+  /// Deadline of the whole request, once its header is there.
+  Instant read_deadline_;
   uint64_t number_ = 0;
   std::string head_;
   Response response_;
@@ -207,7 +211,7 @@
   bool in_process_ = false;
   /// A byte of the present request has come.
   bool request_begun_ = false;
-  bool continue_sent_ = false;
+  bool header_done_ = false;
   bool head_only_ = false;
   bool keep_alive_ = true;
   bool stopping_ = false;
@@ -225,10 +229,10 @@
   state_ = State::kReading;
   parser_.emplace();
   parser_->eager(true);
-  parser_->header_limit(kMaxHeaderBytes);
+  parser_->header_limit(owner_.settings_.max_header_bytes);
   parser_->body_limit(owner_.settings_.max_body_bytes);
   request_begun_ = false;
-  continue_sent_ = false;
+  header_done_ = false;
   deadline_ = MonotonicClock::now() +
               (stopping_ ? kStopGrace : owner_.settings_.idle_timeout);
 }
@@ -282,7 +286,10 @@
 bool Server::Impl::Connection::Parse() {
   if (!request_begun_) {
     request_begun_ = true;
-    deadline_ = MonotonicClock::now() + owner_.settings_.read_timeout;
+    const RequestLimits& limits = owner_.settings_;
+    const Instant now = MonotonicClock::now();
+    read_deadline_ = now + limits.read_timeout;
+    deadline_ = now + std::min(limits.header_timeout, limits.read_timeout);
   }
   ErrorCode ec;
   const size_t n = parser_->put(buffer_.data(), ec);
@@ -296,15 +303,16 @@
     Handle();
     return true;
   }
-  SendContinue();
+  OnHeaderDone();
   return n > 0;
 }
 
-void Server::Impl::Connection::SendContinue() {
-  if (continue_sent_ || !parser_->is_header_done()) {
+void Server::Impl::Connection::OnHeaderDone() {
+  if (header_done_ || !parser_->is_header_done()) {
     return;
   }
-  continue_sent_ = true;
+  header_done_ = true;
+  deadline_ = read_deadline_;
   if (boost::algorithm::iequals(parser_->get()[beast::http::field::expect],
                                 "100-continue")) {
     ErrorCode ec;
@@ -507,7 +515,8 @@
 
 void Server::Impl::ScheduleSweep() {
   const Duration shortest =
-      std::min(settings_.read_timeout, settings_.idle_timeout);
+      std::min({settings_.header_timeout, settings_.read_timeout,
+                settings_.idle_timeout});
   sweep_timer_.expires_after(std::clamp(shortest / 8, kMinSweep, kMaxSweep));
   sweep_timer_.async_wait([weak = weak_from_this()](const ErrorCode& ec) {
     const auto self = weak.lock();
@@ -596,6 +605,10 @@
   return impl_->port();
 }
 
+void Server::SetLimits(const RequestLimits& limits) {
+  impl_->SetLimits(limits);
+}
+
 void Server::StopAccepting() {
   impl_->PostStop();
 }
--- a/filbertwick/http/server.h
+++ b/filbertwick/http/server.h
@@ -14,18 +14,26 @@
 
 namespace filbertwick::http {
 
-/// Limits and address of a server.
-struct ServerSettings {
-  /// IP number to listen on.
-  std::string host = "127.0.0.1";
-  /// 0 lets the system choose.
-  uint16_t port = 0;
+/// What a request may take.
+struct RequestLimits {
+  /// Larger headers get 431.
+  uint32_t max_header_bytes = 16 * 1024;
   /// Larger bodies get 413.
   size_t max_body_bytes = 8 * 1024 * 1024;
+  /// A request whose header takes longer to arrive gets 408.
+  Duration header_timeout = std::chrono::seconds(10);
   /// A request that takes longer to arrive gets 408.
   Duration read_timeout = std::chrono::seconds(10);
   /// An idle kept-alive connection is closed after this.
   Duration idle_timeout = std::chrono::seconds(60);
+};
+
+/// Limits and address of a server.
+struct ServerSettings : RequestLimits {
+  /// IP number to listen on.
+  std::string host = "127.0.0.1";
+  /// 0 lets the system choose.
+  uint16_t port = 0;
   /// More connections than this are closed at once.
   size_t max_connections = 4096;
 };
@@ -54,6 +62,10 @@
   /// The port listened on.
   uint16_t port() const;
 
+  /// Limits requests and idle times that begin from now on; on the context's
+  /// thread.
+  void SetLimits(const RequestLimits& limits);
+
   /// Stops accepting; open requests are still answered, then closed.
   void StopAccepting();
 
--- a/filbertwick/platform/control_follower.cc
+++ b/filbertwick/platform/control_follower.cc
@@ -121,11 +121,19 @@
       return;
     }
     const auto routes = static_cast<int64_t>(configuration->routes.size());
+    const core::direct::RequestLimits limits = configuration->limits;
     if (book_.Publish(offset, text, *std::move(configuration))) {
       hooks_.log(
           LogLine("configuration_in_force")
               .Add("version", static_cast<int64_t>(book_.position().version))
               .Add("routes", routes)
+              .Add("max_header_bytes", limits.max_header_bytes)
+              .Add("max_body_bytes",
+                   static_cast<int64_t>(limits.max_body_bytes))
+              .Add("header_timeout_ms",
+                   limits.header_timeout / std::chrono::milliseconds(1))
+              .Add("idle_timeout_ms",
+                   limits.idle_timeout / std::chrono::milliseconds(1))
               .Add("source", source));
     }
   }
--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -35,9 +35,13 @@
 constexpr Duration kDrainInterval = std::chrono::milliseconds(50);
 /// Connections from callers; below the descriptors of the smallest machine.
 constexpr size_t kMaxConnections = 3000;
-/// Requests whose body is larger are cut off by the server whatever the
-/// configuration says.
+/// Bounds of what the configuration may ask for: a header fits the memory of
+/// thousands of connections, a body that of one request at a time.
+constexpr uint32_t kMinHeaderBytes = 1024;
+constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
 constexpr size_t kMaxBodyBytes = 4 * 1024 * 1024;
+/// Shorter time-outs would cut off callers over a loaded link.
+constexpr Duration kMinTimeout = std::chrono::milliseconds(100);
 /// Multiple of its target after which an answer is of no use to a caller.
 constexpr int kUselessAfter = 3;
 /// A caller without a configuration to serve it may come back soon.
@@ -90,6 +94,17 @@
   return target.substr(0, target.find('?'));
 }
 
+http::RequestLimits LimitsOf(const core::direct::RequestLimits& limits) {
+  http::RequestLimits http;
+  http.max_header_bytes =
+      std::clamp(limits.max_header_bytes, kMinHeaderBytes, kMaxHeaderBytes);
+  // The body is measured once it is there, so that the answer says why.
+  http.max_body_bytes = kMaxBodyBytes;
+  http.header_timeout = std::max(limits.header_timeout, kMinTimeout);
+  http.idle_timeout = std::max(limits.idle_timeout, kMinTimeout);
+  return http;
+}
+
 class EntryNode : public Node {
  public:
   EntryNode(const PlatformSettings& settings,
@@ -332,6 +347,9 @@
     const core::direct::ControlBook& control = peers_->control();
     core_->SetControlPosition(control.position());
     core_->SetZonesOut(control.snapshot().zones_out);
+    if (callers_ && control.has_configuration()) {
+      callers_->SetLimits(LimitsOf(control.configuration().limits));
+    }
     timer_.Set(core_->NextWakeup());
   }
 
--- a/filbertwick/platform/job_codec.cc
+++ b/filbertwick/platform/job_codec.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <limits>
+#include <optional>
 
 #include "filbertwick/platform/json_fields.h"
 
@@ -125,6 +127,15 @@
   return route;
 }
 
+/// A size above zero that fits.
+std::optional<uint32_t> FindSize(const json::object& object,
+                                 std::string_view name) {
+  const auto bytes = FindInteger(object, name);
+  return bytes && *bytes > 0 && *bytes <= std::numeric_limits<uint32_t>::max()
+             ? std::optional(static_cast<uint32_t>(*bytes))
+             : std::nullopt;
+}
+
 }  // namespace
 
 bool IsJobId(std::string_view text) {
@@ -205,10 +216,10 @@
   }
   if (const json::object* limits = FindObject(*object, "limits")) {
     auto& target = configuration.limits;
-    if (const auto bytes = FindInteger(*limits, "max-body-bytes");
-        bytes && *bytes > 0) {
-      target.max_body_bytes = static_cast<size_t>(*bytes);
-    }
+    target.max_header_bytes =
+        FindSize(*limits, "max-header-bytes").value_or(target.max_header_bytes);
+    target.max_body_bytes =
+        FindSize(*limits, "max-body-bytes").value_or(target.max_body_bytes);
     target.header_timeout = FindMillis(*limits, "header-timeout-ms")
                                 .value_or(target.header_timeout);
     target.idle_timeout =
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -48,6 +48,10 @@
 
   uint16_t port() const { return server->port(); }
 
+  void Limit(const filbertwick::http::RequestLimits& limits) {
+    loop.Run([&] { server->SetLimits(limits); });
+  }
+
   bool Works() {
     filbertwick::http::ClientSettings settings;
     settings.port = port();
@@ -125,6 +129,30 @@
   cr_assert(server.Works());
 }
 
+Test(http_server, a_slow_header_times_out_before_a_slow_body) {
+  ServerSettings settings;
+  settings.header_timeout = std::chrono::milliseconds(50);
+  EchoServer server(settings);
+  RawConnection body(server.port());
+  body.Send("PUT / HTTP/1.1\r\nContent-Length: 10\r\n\r\n12345");
+  RawConnection header(server.port());
+  header.Send("PUT / HTTP/1.1\r\nContent-Le");
+  cr_assert(StartsWithStatus(header.ReadAll(), 408));
+  body.Send("67890");
+  body.EndSending();
+  cr_assert(StartsWithStatus(body.ReadAll(), 200));
+}
+
+Test(http_server, limits_change_for_requests_that_follow) {
+  EchoServer server;
+  filbertwick::http::RequestLimits limits;
+  limits.max_header_bytes = 200;
+  server.Limit(limits);
+  RawConnection raw(server.port());
+  raw.Send("GET / HTTP/1.1\r\nA: " + std::string(300, 'x') + "\r\n\r\n");
+  cr_assert(StartsWithStatus(raw.ReadAll(), 431));
+}
+
 Test(http_server, an_idle_connection_is_closed_without_a_response) {
   ServerSettings settings;
   settings.idle_timeout = std::chrono::milliseconds(50);
--- a/unit_tests/platform_codec_test.cc
+++ b/unit_tests/platform_codec_test.cc
@@ -153,7 +153,9 @@
       R"({"version":7,"routes":[
           {"host":"h","path-prefix":"/a/","service":"s","timeout-ms":1500},
           {"host":"h","path-prefix":"/a/b/","service":"t","advice":{}},
-          {"host":"g"}, 5],"limits":{"max-body-bytes":10}})");
+          {"host":"g"}, 5],"limits":{"max-body-bytes":10,
+          "max-header-bytes":2000,"header-timeout-ms":700,
+          "idle-timeout-ms":900}})");
   cr_assert(configuration.ok());
   cr_assert_eq(configuration->version, 7);
   cr_assert_eq(configuration->routes.size(), 2);
@@ -163,7 +165,11 @@
   cr_assert_null(configuration->FindRoute("g", "/a/c"));
   cr_assert(configuration->Serves("t"));
   cr_assert_not(configuration->Serves("u"));
-  cr_assert_eq(configuration->limits.max_body_bytes, 10);
+  const auto& limits = configuration->limits;
+  cr_assert_eq(limits.max_body_bytes, 10);
+  cr_assert_eq(limits.max_header_bytes, 2000);
+  cr_assert(limits.header_timeout == std::chrono::milliseconds(700));
+  cr_assert(limits.idle_timeout == std::chrono::milliseconds(900));
   cr_assert_not(ParseConfiguration("{}").ok());
   cr_assert_not(ParseConfiguration(R"({"version":0,"routes":[]})").ok());
 }
