--- a/filbertwick/platform/job_codec.cc
+++ b/filbertwick/platform/job_codec.cc
@@ -217,7 +217,7 @@
   if (const json::object* limits = FindObject(*object, "limits")) {
     auto& target = configuration.limits;
     target.max_header_bytes =
-        FindSize(*limits, "max-header-bytes").value_or(target.max_header_bytes);
+        FindSize(*limits, "header-bytes").value_or(target.max_header_bytes);
     target.max_body_bytes =
         FindSize(*limits, "max-body-bytes").value_or(target.max_body_bytes);
     target.header_timeout = FindMillis(*limits, "header-timeout-ms")
--- a/unit_tests/platform_codec_test.cc
+++ b/unit_tests/platform_codec_test.cc
@@ -154,7 +154,7 @@
           {"host":"h","path-prefix":"/a/","service":"s","timeout-ms":1500},
           {"host":"h","path-prefix":"/a/b/","service":"t","advice":{}},
           {"host":"g"}, 5],"limits":{"max-body-bytes":10,
-          "max-header-bytes":2000,"header-timeout-ms":700,
+          "header-bytes":2000,"header-timeout-ms":700,
           "idle-timeout-ms":900}})");
   cr_assert(configuration.ok());
   cr_assert_eq(configuration->version, 7);
