Soak: the real program as processes on loopback under drawn faults

Processes are started, stopped, paused, killed and told to reload by signals; TCP relays between callers and entries, sidecars and upstreams, and everyone and the store delay, cut one way, silence or reset connections; the store goes away or forgets; upstreams die, hang, drain, run slow clocks and carry orders out late. Checked while it runs, from what callers and upstreams see: no two runs of a task at one time, room, nothing unasked, nothing refused that runs, complete answers, drains, evacuations, exits, grace, and recovery with a new route after all has healed.

The stand-in of the store moves from unit_tests to standin, so that both use one; ChildProcess can log to a file, be polled and signalled.

The platform allows two seconds for a configuration, so the probes of the new route begin after that time.

--- a/bench/live/child_process.cc
+++ b/bench/live/child_process.cc
@@ -19,11 +19,31 @@
 namespace filbertwick::bench {
 namespace {
 
+/// Stands for a process whose output goes to a file.
+constexpr int kNoOutput = -1;
 constexpr int kEndChecks = 100;
 constexpr std::chrono::milliseconds kEndCheckPause(20);
 /// Fields of /proc/PID/stat between the name and utime.
 constexpr int kFieldsBeforeCpu = 11;
 
+/// Starts a program; `actions` are used up.
+absl::StatusOr<pid_t> Spawn(const std::vector<std::string>& command,
+                            posix_spawn_file_actions_t& actions) {
+  std::vector<char*> arguments;
+  std::ranges::transform(
+      command, std::back_inserter(arguments),
+      [](const std::string& it) { return const_cast<char*>(it.c_str()); });
+  arguments.push_back(nullptr);
+  pid_t pid = 0;
+  const int error = posix_spawn(&pid, command[0].c_str(), &actions, nullptr,
+                                arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) {
+    return absl::UnavailableError(fmt::format("can't start {}", command[0]));
+  }
+  return pid;
+}
+
 }  // namespace
 
 absl::StatusOr<std::unique_ptr<ChildProcess>> ChildProcess::Start(
@@ -38,35 +58,56 @@
   posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
-  std::vector<char*> arguments;
-  std::ranges::transform(
-      command, std::back_inserter(arguments),
-      [](const std::string& it) { return const_cast<char*>(it.c_str()); });
-  arguments.push_back(nullptr);
-  pid_t pid = 0;
-  const int error = posix_spawn(&pid, command[0].c_str(), &actions, nullptr,
-                                arguments.data(), environ);
-  posix_spawn_file_actions_destroy(&actions);
+  const auto pid = Spawn(command, actions);
   close(ends[1]);
-  if (error != 0) {
+  if (!pid.ok()) {
     close(ends[0]);
-    return absl::UnavailableError(fmt::format("can't start {}", command[0]));
+    return pid.status();
+  }
+  return std::unique_ptr<ChildProcess>(new ChildProcess(*pid, ends[0]));
+}
+
+absl::StatusOr<std::unique_ptr<ChildProcess>> ChildProcess::StartLogged(
+    const std::vector<std::string>& command,
+    const std::string& log) {
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  const auto pid = Spawn(command, actions);
+  if (!pid.ok()) {
+    return pid.status();
   }
-  return std::unique_ptr<ChildProcess>(new ChildProcess(pid, ends[0]));
+  return std::unique_ptr<ChildProcess>(new ChildProcess(*pid, kNoOutput));
 }
 
 ChildProcess::~ChildProcess() {
-  kill(pid_, SIGTERM);
-  for (int i = 0; i < kEndChecks; ++i) {
-    if (waitpid(pid_, nullptr, WNOHANG) != 0) {
-      close(output_);
-      return;
-    }
+  Signal(SIGTERM);
+  for (int i = 0; i < kEndChecks && !Poll(); ++i) {
     std::this_thread::sleep_for(kEndCheckPause);
   }
-  kill(pid_, SIGKILL);
-  waitpid(pid_, nullptr, 0);
-  close(output_);
+  if (!end_status_) {
+    Signal(SIGKILL);
+    waitpid(pid_, nullptr, 0);
+  }
+  if (output_ != kNoOutput) {
+    close(output_);
+  }
+}
+
+void ChildProcess::Signal(int signal) {
+  if (!Poll()) {
+    kill(pid_, signal);
+  }
+}
+
+std::optional<int> ChildProcess::Poll() {
+  int status = 0;
+  if (!end_status_ && waitpid(pid_, &status, WNOHANG) == pid_) {
+    end_status_ = status;
+  }
+  return end_status_;
 }
 
 std::string ChildProcess::ReadLine() const {
--- a/bench/live/child_process.h
+++ b/bench/live/child_process.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,10 @@
   static absl::StatusOr<std::unique_ptr<ChildProcess>> Start(
       const std::vector<std::string>& command,
       const std::string& log);
+  /// Starts a program whose standard output and error are appended to `log`.
+  static absl::StatusOr<std::unique_ptr<ChildProcess>> StartLogged(
+      const std::vector<std::string>& command,
+      const std::string& log);
   /// Sends SIGTERM, then SIGKILL when the process does not end in time.
   ~ChildProcess();
 
@@ -33,6 +38,10 @@
   std::string ReadLine() const;
   /// Usage from /proc; zeros when the process has ended.
   Usage ReadUsage() const;
+  /// Sends a signal; nothing when the process has ended.
+  void Signal(int signal);
+  /// The status that waitpid(2) gave, once the process has ended.
+  std::optional<int> Poll();
 
  private:
   ChildProcess(pid_t pid, int output) : pid_(pid), output_(output) {}
@@ -40,6 +49,8 @@
   const pid_t pid_;
   /// Read end of the child's standard output.
   const int output_;
+  /// Set once the process was reaped; its id may belong to another then.
+  std::optional<int> end_status_;
 };
 
 }  // namespace filbertwick::bench
--- a/filbertwick/harness/direct_upstream.cc
+++ b/filbertwick/harness/direct_upstream.cc
@@ -101,6 +101,9 @@
   ended_.push_back({++last_end_, {task, run}, kind});
   auto& highest = highest_ended_[task];
   highest = std::max(highest, run);
+  if (ended_hook_) {
+    ended_hook_({task, run}, kind);
+  }
 }
 
 void DirectUpstream::Advance(Duration now) {
--- a/filbertwick/harness/direct_upstream.h
+++ b/filbertwick/harness/direct_upstream.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "filbertwick/base/time.h"
@@ -25,6 +26,11 @@
   DirectUpstream(int64_t born, Duration begun, double rate)
       : born_(born), begun_(begun), rate_(rate) {}
 
+  /// Told of each run that has ended.
+  using EndHook =
+      std::function<void(const core::direct::TaskRun&, core::direct::EndKind)>;
+  void SetEndHook(EndHook hook) { ended_hook_ = std::move(hook); }
+
   /// Milliseconds on its clock.
   core::direct::UpstreamMillis Clock(Duration now) const;
   core::direct::OrderAnswer Start(Duration now,
@@ -68,6 +74,7 @@
   std::map<std::string, uint64_t> highest_ended_;
   std::vector<core::direct::ListedEnd> ended_;
   uint64_t last_end_ = 0;
+  EndHook ended_hook_;
 };
 
 }  // namespace filbertwick::harness
--- a/unit_tests/platform_store_fixture.h
+++ b/filbertwick/standin/platform_store.cc
@@ -1,28 +1,20 @@
-#ifndef FILBERTWICK_UNIT_TESTS_PLATFORM_STORE_FIXTURE_H_
-#define FILBERTWICK_UNIT_TESTS_PLATFORM_STORE_FIXTURE_H_
-
-#include <absl/status/status.h>
+#include "filbertwick/standin/platform_store.h"
 
 #include <fmt/format.h>
 #include <sodium.h>
 
-#include <algorithm>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <cstdint>
 #include <iterator>
 #include <list>
 #include <map>
-#include <memory>
-#include <string>
-#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "filbertwick/http/server.h"
 #include "filbertwick/http/target.h"
 
-namespace filbertwick::test {
+namespace filbertwick::standin {
+namespace {
 
 /// A record as it lies in the log.
 struct Record {
@@ -39,7 +31,7 @@
   uint64_t end = 0;
 };
 
-inline std::string BigEndian(uint64_t number, size_t bytes) {
+std::string BigEndian(uint64_t number, size_t bytes) {
   std::string out(bytes, '\0');
   for (size_t n = 0; n < bytes; ++n) {
     out[n] = static_cast<char>(number >> (8 * (bytes - 1 - n)));
@@ -47,7 +39,7 @@
   return out;
 }
 
-inline std::string Base64(std::string_view bytes) {
+std::string Base64(std::string_view bytes) {
   std::string text(
       sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL),
       '\0');
@@ -58,24 +50,24 @@
   return text;
 }
 
-inline http::Response Status(int status) {
+http::Response Status(int status) {
   http::Response response;
   response.status = status;
   return response;
 }
 
-/// A small stand-in of the platform's store: keyed topics with one partition,
-/// appends, long polls and the newest record of each key. Belongs to the
-/// context's thread.
-class PlatformStore : public std::enable_shared_from_this<PlatformStore> {
+}  // namespace
+
+class PlatformStore::Impl : public std::enable_shared_from_this<Impl> {
  public:
-  explicit PlatformStore(boost::asio::io_context& context)
-      : context_(context) {}
+  explicit Impl(boost::asio::io_context& context) : context_(context) {}
 
-  /// Listens on a loopback port of the system's choice.
-  absl::Status Listen() {
+  absl::Status Listen(const std::string& host, uint16_t port) {
+    http::ServerSettings settings;
+    settings.host = host;
+    settings.port = port;
     auto server = http::Server::Create(
-        context_, {},
+        context_, settings,
         [this](const http::Request& request, const http::Responder& respond) {
           Handle(request, respond);
         });
@@ -86,7 +78,6 @@
     return absl::OkStatus();
   }
 
-  /// Writes a record, as the operator would; an empty value drops the key.
   void Put(std::string_view topic,
            std::string_view key,
            std::string_view value) {
@@ -101,10 +92,8 @@
     AnswerPolls();
   }
 
-  /// Answers every call with 503 while it is down.
   void SetDown(bool down) { down_ = down; }
 
-  /// Forgets the records of a topic but for the newest of each key.
   void Compact(std::string_view topic) {
     Topic& log = topics_[std::string(topic)];
     log.records.clear();
@@ -243,6 +232,37 @@
   bool down_ = false;
 };
 
-}  // namespace filbertwick::test
+PlatformStore::PlatformStore(std::shared_ptr<Impl> impl)
+    : impl_(std::move(impl)) {}
+PlatformStore::~PlatformStore() = default;
+
+absl::StatusOr<std::unique_ptr<PlatformStore>> PlatformStore::Create(
+    boost::asio::io_context& context,
+    const std::string& host,
+    uint16_t port) {
+  auto impl = std::make_shared<Impl>(context);
+  if (const absl::Status status = impl->Listen(host, port); !status.ok()) {
+    return status;
+  }
+  return std::unique_ptr<PlatformStore>(new PlatformStore(std::move(impl)));
+}
+
+void PlatformStore::Put(std::string_view topic,
+                        std::string_view key,
+                        std::string_view value) {
+  impl_->Put(topic, key, value);
+}
+
+void PlatformStore::SetDown(bool down) {
+  impl_->SetDown(down);
+}
+
+void PlatformStore::Compact(std::string_view topic) {
+  impl_->Compact(topic);
+}
+
+uint16_t PlatformStore::port() const {
+  return impl_->port();
+}
 
-#endif  // FILBERTWICK_UNIT_TESTS_PLATFORM_STORE_FIXTURE_H_
+}  // namespace filbertwick::standin
--- /dev/null
+++ b/soak/fleet.cc
@@ -0,0 +1,373 @@
+#include "soak/fleet.h"
+
+#include <absl/status/status.h>
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <utility>
+#include <vector>
+
+#include "filbertwick/harness/random.h"
+#include "filbertwick/standin/platform_store.h"
+
+namespace filbertwick::soak {
+namespace {
+
+constexpr uint16_t kCallerPort = 8161;
+constexpr uint16_t kUpstreamPort = 8165;
+constexpr uint16_t kControlPort = 8166;
+constexpr uint16_t kReadyPort = 8167;
+constexpr uint16_t kStorePort = 8169;
+constexpr uint16_t kPeerPort = 7720;
+/// A relay listens beside the port it stands for.
+constexpr uint16_t kRelayOffset = 1000;
+constexpr size_t kSeeds = 3;
+constexpr std::string_view kOperatorTopic = "keyed.op";
+constexpr std::string_view kService = "soak-service";
+constexpr std::string_view kHost = "soak.example";
+/// Clocks of upstreams run up to 2% slow, as on the platform.
+constexpr double kSlowestClock = 0.98;
+
+std::string ZoneOf(size_t n) {
+  return fmt::format("zone-{}", n % Fleet::kZones);
+}
+
+/// Addresses of a fleet: all in one /24 that the process id chooses, so that
+/// fleets on one machine do not meet.
+std::string HostOf(size_t n) {
+  constexpr int kFirstNet = 64;
+  constexpr int kNets = 128;
+  constexpr int kSubnets = 250;
+  const int pid = getpid();
+  return fmt::format("127.{}.{}.{}", kFirstNet + pid % kNets,
+                     pid / kNets % kSubnets, n + 1);
+}
+
+std::string RouteText(std::string_view prefix) {
+  return fmt::format(
+      R"({{"name":"{0}","host":"{1}","path-prefix":"/{0}/","kind":"unsafe",)"
+      R"("timeout-ms":2000,"target-latency-ms":200,"priority":1,)"
+      R"("service":"{2}","max-attempts":3,"stretch":2}})",
+      prefix, kHost, kService);
+}
+
+}  // namespace
+
+class Fleet::Impl {
+ public:
+  Impl(boost::asio::io_context& context,
+       FleetSettings settings,
+       Observer& observer)
+      : context_(context),
+        settings_(std::move(settings)),
+        observer_(observer),
+        random_(settings_.seed) {}
+
+  absl::Status Start();
+  size_t size() const { return settings_.entries + settings_.sidecars; }
+  bool IsEntry(size_t n) const { return n < settings_.entries; }
+  Instance& instance(size_t n) { return *instances_[n]; }
+  Upstream& upstream(size_t n) { return *upstreams_[n - settings_.entries]; }
+  Relay* relay(size_t n, RelayPlace place) {
+    return machines_[n].relays[static_cast<size_t>(place)].get();
+  }
+  Callers& callers() { return *callers_; }
+  standin::PlatformStore& store() { return *store_; }
+  std::string PublishConfiguration();
+  void SetZoneOut(size_t zone, bool out);
+  void Disturb(size_t n);
+  void Settle(size_t n);
+  void Watch();
+  void Heal();
+
+ private:
+  struct Machine {
+    std::array<std::unique_ptr<Relay>, 3> relays;
+    /// Disturbances under way.
+    size_t disturbances = 0;
+  };
+
+  Endpoint StoreEndpoint() const { return {HostOf(size()), kStorePort}; }
+  absl::Status AddRelay(size_t n, RelayPlace place, const Endpoint& server);
+  absl::Status AddMachine(size_t n);
+  absl::Status AddUpstream(size_t n);
+  absl::Status WriteSettings(size_t n) const;
+  std::string SettingsFile(size_t n) const {
+    return fmt::format("{}/instance-{}.json", settings_.folder, n);
+  }
+  void AddCallers();
+  void JudgeZone(size_t n);
+
+  boost::asio::io_context& context_;
+  const FleetSettings settings_;
+  Observer& observer_;
+  harness::Random random_;
+  std::unique_ptr<standin::PlatformStore> store_;
+  std::vector<Machine> machines_;
+  std::vector<std::unique_ptr<Upstream>> upstreams_;
+  std::vector<std::unique_ptr<Instance>> instances_;
+  std::unique_ptr<Callers> callers_;
+  uint64_t version_ = 0;
+  std::string routes_;
+  std::array<bool, kZones> zones_out_{};
+};
+
+absl::Status Fleet::Impl::Start() {
+  const Endpoint store = StoreEndpoint();
+  auto made = standin::PlatformStore::Create(context_, store.host, store.port);
+  if (!made.ok()) {
+    return made.status();
+  }
+  store_ = *std::move(made);
+  PublishConfiguration();
+  machines_.resize(size());
+  for (size_t n = 0; n < size(); ++n) {
+    if (const absl::Status status = AddMachine(n); !status.ok()) {
+      return status;
+    }
+  }
+  observer_.SetAdvance([this] {
+    for (const auto& upstream : upstreams_) {
+      upstream->Advance();
+    }
+  });
+  AddCallers();
+  for (const auto& instance : instances_) {
+    if (const absl::Status status = instance->Start(); !status.ok()) {
+      return status;
+    }
+  }
+  return absl::OkStatus();
+}
+
+absl::Status Fleet::Impl::AddRelay(size_t n,
+                                   RelayPlace place,
+                                   const Endpoint& server) {
+  const Endpoint listen = {HostOf(n),
+                           static_cast<uint16_t>(server.port + kRelayOffset)};
+  auto relay = Relay::Create(context_, listen, server);
+  if (relay.ok()) {
+    machines_[n].relays[static_cast<size_t>(place)] = *std::move(relay);
+  }
+  return relay.status();
+}
+
+absl::Status Fleet::Impl::AddMachine(size_t n) {
+  absl::Status status = AddRelay(n, RelayPlace::kStore, StoreEndpoint());
+  if (status.ok()) {
+    status = IsEntry(n)
+                 ? AddRelay(n, RelayPlace::kCallers, {HostOf(n), kCallerPort})
+                 : AddUpstream(n);
+  }
+  if (status.ok()) {
+    status = WriteSettings(n);
+  }
+  instances_.push_back(std::make_unique<Instance>(
+      fmt::format("instance-{}", n), settings_.program, SettingsFile(n),
+      fmt::format("{}/instance-{}.log", settings_.folder, n), observer_));
+  return status;
+}
+
+absl::Status Fleet::Impl::AddUpstream(size_t n) {
+  UpstreamSettings settings;
+  settings.name = fmt::format("upstream-{}", n);
+  settings.zone = ZoneOf(n);
+  settings.service = kService;
+  settings.listen = {HostOf(n), kUpstreamPort};
+  settings.reached_at = {HostOf(n), kUpstreamPort + kRelayOffset};
+  settings.sidecar = {HostOf(n), kControlPort};
+  settings.clock_rate =
+      kSlowestClock + (1 - kSlowestClock) * random_.Fraction();
+  settings.seed = random_.Next();
+  auto upstream = Upstream::Create(context_, settings, observer_);
+  if (!upstream.ok()) {
+    return upstream.status();
+  }
+  upstreams_.push_back(*std::move(upstream));
+  return AddRelay(n, RelayPlace::kUpstream, settings.listen);
+}
+
+absl::Status Fleet::Impl::WriteSettings(size_t n) const {
+  const std::string host = HostOf(n);
+  std::string seeds;
+  for (size_t seed = 0; seed < std::min(kSeeds, settings_.entries); ++seed) {
+    seeds += fmt::format("{}\"{}:{}\"", seeds.empty() ? "" : ",", HostOf(seed),
+                         kControlPort);
+  }
+  const std::string role =
+      IsEntry(n)
+          ? fmt::format(
+                R"("serves":["front","control"],"listen":{{"front":"{0}:{1}",)"
+                R"("ready":"{0}:{2}","control":"{0}:{3}"}})",
+                host, kCallerPort, kReadyPort, kControlPort)
+          : fmt::format(R"("serves":["side"],"listen":{{"control":"{0}:{1}"}},)"
+                        R"("app":"{0}:{2}")",
+                        host, kControlPort, kUpstreamPort + kRelayOffset);
+  std::ofstream file(SettingsFile(n));
+  file << fmt::format(
+      R"({{"node":"instance-{}","ip":"{}","zone":"{}",{},"seeds":[{}],)"
+      R"("port-range":[{},{}],"platform":{{"address":"{}:{}"}},)"
+      R"("bounds":{{"resend-ms":1300,"hold-max-ms":1000,"grace-s":6}}}})",
+      n, host, ZoneOf(n), role, seeds, kPeerPort, kPeerPort + 15, host,
+      kStorePort + kRelayOffset);
+  file.close();
+  return file ? absl::OkStatus()
+              : absl::UnavailableError("can't write " + SettingsFile(n));
+}
+
+void Fleet::Impl::AddCallers() {
+  CallerSettings settings;
+  settings.host = kHost;
+  settings.path_prefix = "/v1/";
+  settings.jobs_per_second = settings_.jobs_per_second;
+  settings.seed = random_.Next();
+  for (size_t n = 0; n < settings_.entries; ++n) {
+    settings.entries.push_back({HostOf(n), kCallerPort + kRelayOffset});
+    settings.readiness.push_back({HostOf(n), kReadyPort});
+  }
+  callers_ = Callers::Create(context_, settings, observer_);
+}
+
+std::string Fleet::Impl::PublishConfiguration() {
+  const std::string prefix = fmt::format("v{}", ++version_);
+  routes_ += (routes_.empty() ? "" : ",") + RouteText(prefix);
+  store_->Put(
+      kOperatorTopic, "config",
+      fmt::format(
+          R"({{"version":{},"routes":[{}],"services":[{{"name":"{}"}}],)"
+          R"("limits":{{"header-bytes":16384,"max-body-bytes":262144,)"
+          R"("header-timeout-ms":3000,"idle-timeout-ms":15000}}}})",
+          version_, routes_, kService));
+  return "/" + prefix + "/";
+}
+
+void Fleet::Impl::SetZoneOut(size_t zone, bool out) {
+  store_->Put(kOperatorTopic, "evacuate/" + ZoneOf(zone), out ? "{}" : "");
+  zones_out_[zone] = out;
+  for (size_t n = settings_.entries; n < size(); ++n) {
+    JudgeZone(n);
+  }
+}
+
+void Fleet::Impl::JudgeZone(size_t n) {
+  if (!IsEntry(n)) {
+    upstream(n).SetZoneOut(zones_out_[n % kZones] &&
+                           machines_[n].disturbances == 0);
+  }
+}
+
+void Fleet::Impl::Disturb(size_t n) {
+  ++machines_[n].disturbances;
+  JudgeZone(n);
+}
+
+void Fleet::Impl::Settle(size_t n) {
+  --machines_[n].disturbances;
+  JudgeZone(n);
+}
+
+void Fleet::Impl::Watch() {
+  for (const auto& instance : instances_) {
+    instance->Watch();
+  }
+}
+
+void Fleet::Impl::Heal() {
+  store_->SetDown(false);
+  for (size_t zone = 0; zone < kZones; ++zone) {
+    SetZoneOut(zone, false);
+  }
+  for (const Machine& machine : machines_) {
+    for (const auto& relay : machine.relays) {
+      if (relay) {
+        relay->SetMode(RelayMode::kPass);
+      }
+    }
+  }
+  for (const auto& upstream : upstreams_) {
+    upstream->SetHanging(false);
+    upstream->SetLate(false);
+    upstream->Revive();
+  }
+  for (const auto& instance : instances_) {
+    instance->Resume();
+    if (const absl::Status status = instance->Start(); !status.ok()) {
+      observer_.Report("start", std::string(status.message()));
+    }
+  }
+}
+
+Fleet::Fleet(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+Fleet::~Fleet() = default;
+
+absl::StatusOr<std::unique_ptr<Fleet>> Fleet::Start(
+    boost::asio::io_context& context,
+    const FleetSettings& settings,
+    Observer& observer) {
+  auto impl = std::make_unique<Impl>(context, settings, observer);
+  if (const absl::Status status = impl->Start(); !status.ok()) {
+    return status;
+  }
+  return std::unique_ptr<Fleet>(new Fleet(std::move(impl)));
+}
+
+size_t Fleet::instances() const {
+  return impl_->size();
+}
+
+bool Fleet::IsEntry(size_t instance) const {
+  return impl_->IsEntry(instance);
+}
+
+Instance& Fleet::instance(size_t n) {
+  return impl_->instance(n);
+}
+
+Upstream& Fleet::upstream(size_t instance) {
+  return impl_->upstream(instance);
+}
+
+Relay* Fleet::relay(size_t instance, RelayPlace place) {
+  return impl_->relay(instance, place);
+}
+
+Callers& Fleet::callers() {
+  return impl_->callers();
+}
+
+void Fleet::SetStoreDown(bool down) {
+  impl_->store().SetDown(down);
+}
+
+void Fleet::CompactStore() {
+  impl_->store().Compact(kOperatorTopic);
+}
+
+std::string Fleet::PublishConfiguration() {
+  return impl_->PublishConfiguration();
+}
+
+void Fleet::SetZoneOut(size_t zone, bool out) {
+  impl_->SetZoneOut(zone, out);
+}
+
+void Fleet::Disturb(size_t instance) {
+  impl_->Disturb(instance);
+}
+
+void Fleet::Settle(size_t instance) {
+  impl_->Settle(instance);
+}
+
+void Fleet::Watch() {
+  impl_->Watch();
+}
+
+void Fleet::Heal() {
+  impl_->Heal();
+}
+
+}  // namespace filbertwick::soak
--- /dev/null
+++ b/soak/instance.cc
@@ -0,0 +1,121 @@
+#include "soak/instance.h"
+
+#include <fmt/format.h>
+#include <sys/wait.h>
+
+#include <csignal>
+#include <utility>
+
+namespace filbertwick::soak {
+namespace {
+
+/// Between SIGTERM and SIGKILL, as on the platform.
+constexpr Duration kGrace = std::chrono::seconds(6);
+
+std::string Describe(int status) {
+  return WIFSIGNALED(status) ? fmt::format("signal {}", WTERMSIG(status))
+                             : fmt::format("status {}", WEXITSTATUS(status));
+}
+
+}  // namespace
+
+Instance::Instance(std::string name,
+                   std::string program,
+                   std::string settings_file,
+                   std::string log,
+                   Observer& observer)
+    : name_(std::move(name)),
+      program_(std::move(program)),
+      settings_file_(std::move(settings_file)),
+      log_(std::move(log)),
+      observer_(observer) {}
+
+Instance::~Instance() {
+  Kill();
+}
+
+absl::Status Instance::Start() {
+  if (process_) {
+    start_after_stop_ = stop_asked_.has_value();
+    return absl::OkStatus();
+  }
+  auto process = bench::ChildProcess::StartLogged(
+      {"/usr/bin/env", "FILBERTWICK_SETTINGS=" + settings_file_, program_},
+      log_);
+  if (!process.ok()) {
+    return process.status();
+  }
+  process_ = *std::move(process);
+  stop_asked_.reset();
+  start_after_stop_ = false;
+  paused_ = false;
+  was_paused_ = false;
+  return absl::OkStatus();
+}
+
+void Instance::Kill() {
+  if (process_) {
+    Watch();
+  }
+  if (process_) {
+    process_->Signal(SIGKILL);
+    process_.reset();
+  }
+}
+
+void Instance::Stop() {
+  if (process_ && !stop_asked_) {
+    stop_asked_ = MonotonicClock::now();
+    was_paused_ = paused_;
+    process_->Signal(SIGTERM);
+  }
+}
+
+void Instance::Pause() {
+  if (process_) {
+    paused_ = true;
+    was_paused_ = true;
+    process_->Signal(SIGSTOP);
+  }
+}
+
+void Instance::Resume() {
+  if (process_ && std::exchange(paused_, false)) {
+    process_->Signal(SIGCONT);
+  }
+}
+
+void Instance::Reload() {
+  if (process_) {
+    process_->Signal(SIGHUP);
+  }
+}
+
+void Instance::Watch() {
+  if (!process_) {
+    return;
+  }
+  const std::optional<int> end = process_->Poll();
+  if (!end) {
+    if (stop_asked_ && !was_paused_ &&
+        MonotonicClock::now() - *stop_asked_ > kGrace) {
+      observer_.Report("grace", fmt::format("{} outlives its grace", name_));
+      process_->Signal(SIGKILL);
+      process_.reset();
+    }
+    return;
+  }
+  if (!stop_asked_ || *end != 0) {
+    observer_.Report("exit", fmt::format("{} ended by itself with {}", name_,
+                                         Describe(*end)));
+  }
+  process_.reset();
+  stop_asked_.reset();
+  if (std::exchange(start_after_stop_, false)) {
+    if (const absl::Status status = Start(); !status.ok()) {
+      observer_.Report("start", std::string(status.message()));
+    }
+  }
+}
+
+}  // namespace filbertwick::soak
--- /dev/null
+++ b/soak/observer.cc
@@ -0,0 +1,93 @@
+#include "soak/observer.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace filbertwick::soak {
+namespace {
+
+/// The job of a task's name.
+std::string JobOf(const std::string& task) {
+  return task.substr(0, task.find('.'));
+}
+
+}  // namespace
+
+void Observer::OnSubmitted(const std::string& job, uint32_t tasks) {
+  jobs_[job].tasks = tasks;
+  ++counts_.jobs;
+}
+
+void Observer::OnRefused(const std::string& job) {
+  Job& it = jobs_[job];
+  it.refused = true;
+  ++counts_.refused;
+  for (const auto& [task, upstreams] : running_) {
+    if (JobOf(task) == job && !upstreams.empty()) {
+      Report("refused", fmt::format("{} was refused and runs", task));
+    }
+  }
+  if (!it.done.empty()) {
+    Report("refused", fmt::format("{} was refused and ran", job));
+  }
+}
+
+void Observer::OnCompleted(const std::string& job) {
+  const Job& it = jobs_[job];
+  ++counts_.completed;
+  if (it.done.size() < it.tasks) {
+    Report("complete", fmt::format("{} completed with {} of {} tasks done", job,
+                                   it.done.size(), it.tasks));
+  }
+}
+
+void Observer::OnStarted(const std::string& upstream,
+                         const std::string& task,
+                         size_t running,
+                         size_t room) {
+  advance_();
+  ++starts_;
+  const auto it = jobs_.find(JobOf(task));
+  if (it == jobs_.end()) {
+    Report("unasked", fmt::format("{} starts at {}", task, upstream));
+  } else if (it->second.refused) {
+    Report("refused",
+           fmt::format("{} starts at {} after refusal", task, upstream));
+  }
+  auto& places = running_[task];
+  if (!places.empty()) {
+    Report("twice", fmt::format("{} starts at {}, runs at {}", task, upstream,
+                                *places.begin()));
+  }
+  places.insert(upstream);
+  if (running >= room) {
+    Report("limit", fmt::format("{} starts at {} beside {} others, room is {}",
+                                task, upstream, running, room));
+  }
+}
+
+void Observer::OnEnded(const std::string& upstream,
+                       const std::string& task,
+                       bool done) {
+  auto& places = running_[task];
+  if (const auto it = places.find(upstream); it != places.end()) {
+    places.erase(it);
+  }
+  if (done) {
+    jobs_[JobOf(task)].done.insert(task);
+  }
+}
+
+void Observer::OnUpstreamGone(const std::string& upstream) {
+  for (auto& [task, places] : running_) {
+    places.erase(upstream);
+  }
+}
+
+void Observer::Report(std::string_view promise, std::string text) {
+  violations_.push_back(
+      {std::string(promise), std::move(text), MonotonicClock::now() - begun_});
+}
+
+}  // namespace filbertwick::soak
--- /dev/null
+++ b/soak/relay.cc
@@ -0,0 +1,255 @@
+#include "soak/relay.h"
+
+#include <absl/status/status.h>
+#include <fmt/format.h>
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <set>
+#include <utility>
+
+namespace filbertwick::soak {
+namespace {
+
+namespace asio = boost::asio;
+using ErrorCode = boost::system::error_code;
+using Tcp = asio::ip::tcp;
+
+/// Added to the way of each piece; about a link to another continent.
+constexpr Duration kAddedDelay = std::chrono::milliseconds(150);
+constexpr size_t kPieceBytes = 16 * 1024;
+
+Tcp::endpoint ToEndpoint(const Endpoint& endpoint) {
+  return {asio::ip::make_address(endpoint.host), endpoint.port};
+}
+
+/// Closes so that the other end sees a reset.
+void Reset(Tcp::socket& socket) {
+  ErrorCode ec;
+  socket.set_option(asio::socket_base::linger(true, 0), ec);
+  socket.close(ec);
+}
+
+}  // namespace
+
+class Relay::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& context, const Endpoint& server)
+      : context_(context), server_(ToEndpoint(server)), acceptor_(context) {}
+
+  absl::Status Listen(const Endpoint& listen) {
+    const Tcp::endpoint endpoint = ToEndpoint(listen);
+    ErrorCode ec;
+    acceptor_.open(endpoint.protocol(), ec);
+    acceptor_.set_option(Tcp::acceptor::reuse_address(true), ec);
+    acceptor_.bind(endpoint, ec);
+    if (!ec) {
+      acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec) {
+      return absl::UnavailableError(fmt::format(
+          "can't listen on {}:{}: {}", listen.host, listen.port, ec.message()));
+    }
+    Accept();
+    return absl::OkStatus();
+  }
+
+  void SetMode(RelayMode mode);
+  void ResetAll();
+  void Close() {
+    ErrorCode ec;
+    acceptor_.close(ec);
+    ResetAll();
+  }
+
+ private:
+  struct Link : std::enable_shared_from_this<Link> {
+    explicit Link(asio::io_context& context)
+        : client(context), server(context) {}
+    Tcp::socket client;
+    Tcp::socket server;
+    bool lost_bytes = false;
+  };
+
+  /// One direction of a link, with the piece on its way.
+  struct Direction : std::enable_shared_from_this<Direction> {
+    Direction(asio::io_context& context,
+              std::shared_ptr<Link> its_link,
+              bool is_to_server)
+        : link(std::move(its_link)), to_server(is_to_server), timer(context) {}
+    Tcp::socket& from() { return to_server ? link->client : link->server; }
+    Tcp::socket& to() { return to_server ? link->server : link->client; }
+
+    std::shared_ptr<Link> link;
+    bool to_server;
+    asio::steady_timer timer;
+    std::array<char, kPieceBytes> buf{};
+  };
+
+  void Accept();
+  void Connect(std::shared_ptr<Link> link);
+  void Pump(const std::shared_ptr<Direction>& direction);
+  void Forward(const std::shared_ptr<Direction>& direction, size_t n);
+  void Write(const std::shared_ptr<Direction>& direction, size_t n);
+  void End(const std::shared_ptr<Link>& link);
+  bool Vanishes(bool to_server) const;
+
+  asio::io_context& context_;
+  const Tcp::endpoint server_;
+  Tcp::acceptor acceptor_;
+  RelayMode mode_ = RelayMode::kPass;
+  std::set<std::shared_ptr<Link>> links_;
+};
+
+bool Relay::Impl::Vanishes(bool to_server) const {
+  return mode_ == RelayMode::kSilent ||
+         (to_server ? mode_ == RelayMode::kCutToServer
+                    : mode_ == RelayMode::kCutToClient);
+}
+
+void Relay::Impl::SetMode(RelayMode mode) {
+  mode_ = mode;
+  if (mode != RelayMode::kPass) {
+    return;
+  }
+  const auto links = links_;
+  for (const auto& link : links) {
+    if (link->lost_bytes) {
+      End(link);
+    }
+  }
+}
+
+void Relay::Impl::ResetAll() {
+  const auto links = std::exchange(links_, {});
+  for (const auto& link : links) {
+    End(link);
+  }
+}
+
+void Relay::Impl::Accept() {
+  acceptor_.async_accept(
+      [weak = weak_from_this()](const ErrorCode& ec, Tcp::socket socket) {
+        const auto self = weak.lock();
+        if (!self || ec == asio::error::operation_aborted) {
+          return;
+        }
+        if (!ec && self->mode_ == RelayMode::kReset) {
+          Reset(socket);
+        } else if (!ec) {
+          auto link = std::make_shared<Link>(self->context_);
+          link->client = std::move(socket);
+          self->Connect(std::move(link));
+        }
+        self->Accept();
+      });
+}
+
+void Relay::Impl::Connect(std::shared_ptr<Link> link) {
+  links_.insert(link);
+  link->server.async_connect(
+      server_, [weak = weak_from_this(), link](const ErrorCode& ec) {
+        const auto self = weak.lock();
+        if (!self || ec) {
+          Reset(link->client);
+          if (self) {
+            self->links_.erase(link);
+          }
+          return;
+        }
+        ErrorCode ignored;  // Without it pieces only arrive later.
+        link->client.set_option(Tcp::no_delay(true), ignored);
+        link->server.set_option(Tcp::no_delay(true), ignored);
+        self->Pump(std::make_shared<Direction>(self->context_, link, true));
+        self->Pump(std::make_shared<Direction>(self->context_, link, false));
+      });
+}
+
+void Relay::Impl::Pump(const std::shared_ptr<Direction>& direction) {
+  direction->from().async_read_some(
+      asio::buffer(direction->buf),
+      [weak = weak_from_this(), direction](const ErrorCode& ec, size_t n) {
+        const auto self = weak.lock();
+        if (!self) {
+          return;
+        }
+        if (ec) {
+          self->End(direction->link);
+          return;
+        }
+        self->Forward(direction, n);
+      });
+}
+
+void Relay::Impl::Forward(const std::shared_ptr<Direction>& direction,
+                          size_t n) {
+  if (Vanishes(direction->to_server)) {
+    direction->link->lost_bytes = true;
+    Pump(direction);
+    return;
+  }
+  if (mode_ != RelayMode::kDelay) {
+    Write(direction, n);
+    return;
+  }
+  direction->timer.expires_after(kAddedDelay);
+  direction->timer.async_wait(
+      [weak = weak_from_this(), direction, n](const ErrorCode& ec) {
+        const auto self = weak.lock();
+        if (!ec && self) {
+          self->Write(direction, n);
+        }
+      });
+}
+
+void Relay::Impl::Write(const std::shared_ptr<Direction>& direction, size_t n) {
+  asio::async_write(
+      direction->to(), asio::buffer(direction->buf.data(), n),
+      [weak = weak_from_this(), direction](const ErrorCode& ec, size_t) {
+        const auto self = weak.lock();
+        if (!self) {
+          return;
+        }
+        if (ec) {
+          self->End(direction->link);
+          return;
+        }
+        self->Pump(direction);
+      });
+}
+
+void Relay::Impl::End(const std::shared_ptr<Link>& link) {
+  // An end that one side asks for is passed on, also while bytes vanish: the
+  // kernels of both ends would notice in the end.
+  Reset(link->client);
+  Reset(link->server);
+  links_.erase(link);
+}
+
+Relay::Relay(std::shared_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+Relay::~Relay() {
+  impl_->Close();
+}
+
+absl::StatusOr<std::unique_ptr<Relay>> Relay::Create(asio::io_context& context,
+                                                     const Endpoint& listen,
+                                                     const Endpoint& server) {
+  auto impl = std::make_shared<Impl>(context, server);
+  if (const absl::Status status = impl->Listen(listen); !status.ok()) {
+    return status;
+  }
+  return std::unique_ptr<Relay>(new Relay(std::move(impl)));
+}
+
+void Relay::SetMode(RelayMode mode) {
+  impl_->SetMode(mode);
+}
+
+void Relay::ResetAll() {
+  impl_->ResetAll();
+}
+
+}  // namespace filbertwick::soak
--- /dev/null
+++ b/soak/soak.cc
@@ -0,0 +1,298 @@
+#include <absl/status/statusor.h>
+#include <fmt/format.h>
+#include <getopt.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <charconv>
+#include <cstdint>
+#include <cstdio>
+#include <filesystem>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+
+#include "soak/faults.h"
+#include "soak/fleet.h"
+#include "soak/observer.h"
+
+namespace filbertwick::soak {
+namespace {
+
+/// Entries are ready within this time of a cold start.
+constexpr Duration kBootLimit = std::chrono::seconds(15);
+/// The platform's limit for recovery once all disturbances have ended.
+constexpr Duration kRecoveryLimit = std::chrono::seconds(12);
+/// A configuration may take this long to be in force, as on the platform.
+constexpr Duration kConfigurationTime = std::chrono::seconds(2);
+/// Jobs in a row that have to complete for a fleet to count as recovered.
+constexpr int kRecoveryJobs = 20;
+constexpr Duration kProbeInterval = std::chrono::milliseconds(100);
+/// From the end of the load to the last word on every job.
+constexpr Duration kLastWordLimit = std::chrono::seconds(30);
+constexpr Duration kWatchInterval = std::chrono::milliseconds(50);
+
+struct Options {
+  std::string program;
+  std::string folder;
+  uint64_t first = 1;
+  uint64_t last = 1;
+  size_t entries = 3;
+  size_t sidecars = 6;
+  int64_t seconds = 12;
+  /// Fresh seeds for this long, instead of a range.
+  int64_t budget = 0;
+};
+
+/// One seed, from the start of the fleet to the verdict.
+class Trial {
+ public:
+  Trial(const Options& options, uint64_t seed)
+      : options_(options), seed_(seed), watch_(context_), probe_(context_) {}
+
+  /// True when nothing was broken.
+  bool Run() {
+    FleetSettings settings;
+    settings.program = options_.program;
+    settings.folder = fmt::format("{}/seed-{}", options_.folder, seed_);
+    settings.entries = options_.entries;
+    settings.sidecars = options_.sidecars;
+    settings.seed = seed_;
+    std::filesystem::create_directories(settings.folder);
+    auto fleet = Fleet::Start(context_, settings, observer_);
+    if (!fleet.ok()) {
+      observer_.Report("start", std::string(fleet.status().message()));
+    } else {
+      fleet_ = *std::move(fleet);
+      Watch();
+      Play();
+      fleet_.reset();
+    }
+    Print();
+    if (observer_.violations().empty()) {
+      std::filesystem::remove_all(settings.folder);
+    }
+    return observer_.violations().empty();
+  }
+
+ private:
+  template <typename Done>
+  bool RunUntil(Duration limit, Done done) {
+    const Instant end = MonotonicClock::now() + limit;
+    while (!done() && MonotonicClock::now() < end) {
+      context_.run_one_for(kWatchInterval);
+    }
+    return done();
+  }
+
+  void Play() {
+    if (!RunUntil(kBootLimit, [this] {
+          return fleet_->callers().ready_entries() == options_.entries;
+        })) {
+      observer_.Report("boot", "not every entry is ready");
+    }
+    const Duration length = std::chrono::seconds(options_.seconds);
+    faults_ = DrawFaults(seed_, length, fleet_->instances());
+    for (const Fault& fault : faults_) {
+      PlayFault(context_, *fleet_, fault);
+    }
+    fleet_->callers().SetLoad(true);
+    // Every fault has ended then.
+    Duration end = length;
+    for (const Fault& fault : faults_) {
+      end = std::max(end, fault.at + fault.length);
+    }
+    RunUntil(end + kWatchInterval, [] { return false; });
+    Recover();
+  }
+
+  void Recover() {
+    fleet_->Heal();
+    prefix_ = fleet_->PublishConfiguration();
+    const Instant healed = MonotonicClock::now();
+    RunUntil(kConfigurationTime, [] { return false; });
+    Probe();
+    if (!RunUntil(kRecoveryLimit - kConfigurationTime,
+                  [this] { return completed_in_row_ >= kRecoveryJobs; })) {
+      observer_.Report("recovery",
+                       fmt::format("{} jobs of a new route completed in a row",
+                                   completed_in_row_));
+    }
+    recovered_after_ = MonotonicClock::now() - healed;
+    probing_ = false;
+    fleet_->callers().SetLoad(false);
+    if (!RunUntil(kLastWordLimit,
+                  [this] { return fleet_->callers().open_jobs() == 0; })) {
+      observer_.Report("liveness", fmt::format("{} jobs without a last word",
+                                               fleet_->callers().open_jobs()));
+    }
+  }
+
+  void Probe() {
+    if (!probing_) {
+      return;
+    }
+    fleet_->callers().Submit(prefix_, [this](bool completed) {
+      completed_in_row_ = completed ? completed_in_row_ + 1 : 0;
+    });
+    probe_.expires_after(kProbeInterval);
+    probe_.async_wait([this](const boost::system::error_code& ec) {
+      if (!ec) {
+        Probe();
+      }
+    });
+  }
+
+  void Watch() {
+    fleet_->Watch();
+    watch_.expires_after(kWatchInterval);
+    watch_.async_wait([this](const boost::system::error_code& ec) {
+      if (!ec && fleet_) {
+        Watch();
+      }
+    });
+  }
+
+  void Print() {
+    const CallerCounts& counts = observer_.counts();
+    fmt::print(
+        "seed {}: {} faults, {} jobs, {} completed, {} refused, {} resent, {} "
+        "given up, {} starts, recovered after {} ms, {} violations\n",
+        seed_, faults_.size(), counts.jobs, counts.completed, counts.refused,
+        counts.resent, counts.given_up, observer_.starts(),
+        recovered_after_ / std::chrono::milliseconds(1),
+        observer_.violations().size());
+    for (const Violation& violation : observer_.violations()) {
+      fmt::print("  {} ms {}: {}\n",
+                 violation.at / std::chrono::milliseconds(1), violation.promise,
+                 violation.text);
+    }
+    if (!observer_.violations().empty()) {
+      for (const Fault& fault : faults_) {
+        fmt::print("  fault: {}\n", Describe(fault));
+      }
+      fmt::print("  logs: {}/seed-{}\n", options_.folder, seed_);
+    }
+    std::fflush(stdout);
+  }
+
+  const Options options_;
+  const uint64_t seed_;
+  boost::asio::io_context context_;
+  Observer observer_;
+  std::unique_ptr<Fleet> fleet_;
+  boost::asio::steady_timer watch_;
+  boost::asio::steady_timer probe_;
+  std::vector<Fault> faults_;
+  std::string prefix_;
+  bool probing_ = true;
+  int completed_in_row_ = 0;
+  Duration recovered_after_{0};
+};
+
+constexpr std::string_view kUsage =
+    "usage: soak --program FILE [--folder DIR] [--seeds A-B | --budget S]\n"
+    "            [--entries N] [--sidecars N] [--seconds S]\n"
+    "  Runs the program as processes on loopback, injects the faults of each\n"
+    "  seed for S seconds and checks what callers and upstreams see. Logs of "
+    "a\n"
+    "  seed that broke something stay in DIR. --budget takes fresh seeds for "
+    "S\n"
+    "  seconds.\n";
+
+template <typename T>
+bool ParseInto(std::string_view text, T& number) {
+  const auto [end, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  return ec == std::errc() && end == text.data() + text.size();
+}
+
+bool ParseSeeds(std::string_view text, Options& options) {
+  const size_t dash = text.find('-');
+  return dash == text.npos
+             ? ParseInto(text, options.first) && ParseInto(text, options.last)
+             : ParseInto(text.substr(0, dash), options.first) &&
+                   ParseInto(text.substr(dash + 1), options.last);
+}
+
+bool ParseOptions(int argc, char** argv, Options& options) {
+  const option long_options[] = {{"program", required_argument, nullptr, 'p'},
+                                 {"folder", required_argument, nullptr, 'f'},
+                                 {"seeds", required_argument, nullptr, 's'},
+                                 {"budget", required_argument, nullptr, 'b'},
+                                 {"entries", required_argument, nullptr, 'e'},
+                                 {"sidecars", required_argument, nullptr, 'c'},
+                                 {"seconds", required_argument, nullptr, 't'},
+                                 {nullptr, 0, nullptr, 0}};
+  bool fits = true;
+  for (int c = 0;
+       (c = getopt_long(argc, argv, "", long_options, nullptr)) != -1;) {
+    const std::string_view text = optarg == nullptr ? "" : optarg;
+    switch (c) {
+      case 'p':
+        options.program = text;
+        break;
+      case 'f':
+        options.folder = text;
+        break;
+      case 's':
+        fits = fits && ParseSeeds(text, options);
+        break;
+      case 'b':
+        fits = fits && ParseInto(text, options.budget);
+        break;
+      case 'e':
+        fits = fits && ParseInto(text, options.entries);
+        break;
+      case 'c':
+        fits = fits && ParseInto(text, options.sidecars);
+        break;
+      case 't':
+        fits = fits && ParseInto(text, options.seconds);
+        break;
+      default:
+        fits = false;
+        break;
+    }
+  }
+  return fits && !options.program.empty() && options.entries > 0 &&
+         options.sidecars > 0 && options.entries + options.sidecars <= 250;
+}
+
+int Main(int argc, char** argv) {
+  Options options;
+  options.folder =
+      fmt::format("{}/filbertwick-soak-{}",
+                  std::filesystem::temp_directory_path().string(), getpid());
+  if (!ParseOptions(argc, argv, options)) {
+    fmt::print(stderr, "{}", kUsage);
+    return 2;
+  }
+  uint64_t trials = 0;
+  uint64_t broken = 0;
+  const Instant begun = MonotonicClock::now();
+  std::random_device fresh;
+  const auto goes_on = [&] {
+    return options.budget == 0 ? options.first + trials <= options.last
+                               : MonotonicClock::now() - begun <
+                                     std::chrono::seconds(options.budget);
+  };
+  while (goes_on()) {
+    const uint64_t seed =
+        options.budget == 0 ? options.first + trials : fresh();
+    broken += Trial(options, seed).Run() ? 0 : 1;
+    ++trials;
+  }
+  fmt::print("{} seeds, {} broken\n", trials, broken);
+  return broken == 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace filbertwick::soak
+
+int main(int argc, char** argv) {
+  return filbertwick::soak::Main(argc, argv);
+}
--- a/unit_tests/control_follower_test.cc
+++ b/unit_tests/control_follower_test.cc
@@ -9,8 +9,8 @@
 #include "filbertwick/http/server.h"
 #include "filbertwick/platform/control_follower.h"
 #include "filbertwick/platform/store_client.h"
+#include "filbertwick/standin/platform_store.h"
 #include "unit_tests/http_fixture.h"
-#include "unit_tests/platform_store_fixture.h"
 
 namespace {
 
@@ -20,8 +20,8 @@
 using filbertwick::core::direct::ControlPosition;
 using filbertwick::platform::ControlFollower;
 using filbertwick::platform::StoreClient;
+using filbertwick::standin::PlatformStore;
 using filbertwick::test::LoopThread;
-using filbertwick::test::PlatformStore;
 
 constexpr const char* kTopic = "keyed.op";
 
@@ -104,8 +104,7 @@
  public:
   ControlTest() {
     loop.Run([&] {
-      store = std::make_shared<PlatformStore>(loop.context());
-      cr_assert(store->Listen().ok());
+      store = *PlatformStore::Create(loop.context(), "127.0.0.1", 0);
       store->Put(kTopic, "config", Configuration(3));
     });
   }
@@ -115,7 +114,7 @@
   }
 
   LoopThread loop;
-  std::shared_ptr<PlatformStore> store;
+  std::unique_ptr<PlatformStore> store;
 };
 
 }  // namespace
