Log where a job goes and what decided its refusal; tell its story from logs

On-call engineers had one line a job, the same kind for success and failure: under load the budget of 20 lines a second went to completed jobs.

Now each outcome is an event of its own with a budget of its own (job_completed, job_failed, job_refused, job_timed_out); those that did not complete carry what decided them: usable upstreams, jobs waiting, where its tasks are, its time limit, the configuration's version. job_placed tells where tasks go, how long the job waited and how old the oldest view was that decided it. Numbers that stood for words are words.

filbertwick explain JOB LOG... reads such logs from files or standard input and tells the story in order of time, with what the instances involved learned meanwhile.

Processes end with the soak, however that ends.

--- a/filbertwick/core/direct/direct_entry.cc
+++ b/filbertwick/core/direct/direct_entry.cc
@@ -138,13 +138,7 @@
   if (outcome == JobOutcome::kRefused) {
     answer.retry_after = return_spread_.Refuse(now, job.spec.id);
   }
-  effects_.push_back(LogLine("job_answered")
-                         .Add("job", job.spec.id)
-                         .Add("outcome", static_cast<int64_t>(outcome))
-                         .Add("cause", cause)
-                         .Add("age_us", (now - job.arrived).count())
-                         .Add("tasks_left", job.left)
-                         .Add("retry_after_s", answer.retry_after.count()));
+  LogAnswer(now, job, answer);
   answer.request = job.spec.request;
   effects_.push_back(answer);
   for (const uint64_t request : job.joined) {
--- a/filbertwick/core/direct/direct_entry_impl.h
+++ b/filbertwick/core/direct/direct_entry_impl.h
@@ -49,6 +49,19 @@
               JobOutcome outcome,
               std::string_view cause);
   void Refuse(Instant now, DirectJob& job, std::string_view cause);
+  void LogAnswer(Instant now,
+                 const DirectJob& job,
+                 const AnswerJobEffect& answer);
+  /// Adds what decided an answer that is not the caller's wish.
+  LogLine AddCircumstances(Instant now,
+                           const DirectJob& job,
+                           LogLine line) const;
+  void LogPlacement(Instant now,
+                    const DirectJob& job,
+                    size_t tasks,
+                    const std::map<InstanceName, Offer>& offers);
+  /// Where the job's unfinished tasks are, as `sidecar:tasks` with spaces.
+  static std::string PlacesOf(const DirectJob& job);
   void Drop(Instant now, DirectJob& job);
   void Wait(const DirectJob& job);
   policy::WaitingJob RankOf(const DirectJob& job) const;
--- /dev/null
+++ b/filbertwick/core/direct/direct_entry_log.cc
@@ -0,0 +1,76 @@
+#include <fmt/format.h>
+
+#include "filbertwick/core/direct/direct_entry_impl.h"
+#include "filbertwick/core/direct/names.h"
+
+namespace filbertwick::core::direct {
+
+void DirectEntry::Impl::LogAnswer(Instant now,
+                                  const DirectJob& job,
+                                  const AnswerJobEffect& answer) {
+  // Each outcome has a log budget of its own: completed jobs never crowd out
+  // the line of a failed one.
+  LogLine line = LogLine(fmt::format("job_{}", ToString(answer.outcome)))
+                     .Add("job", job.spec.id)
+                     .Add("cause", answer.cause)
+                     .Add("age_us", answer.age.count())
+                     .Add("tasks_left", job.left)
+                     .Add("retry_after_s", answer.retry_after.count());
+  effects_.push_back(answer.outcome == JobOutcome::kCompleted
+                         ? std::move(line)
+                         : AddCircumstances(now, job, std::move(line)));
+}
+
+LogLine DirectEntry::Impl::AddCircumstances(Instant now,
+                                            const DirectJob& job,
+                                            LogLine line) const {
+  const auto usable = std::ranges::count_if(
+      sidecars_ | std::views::values, [&](const SidecarView& view) {
+        return IsUsable(now, view) && view.upstream.service == job.spec.service;
+      });
+  return std::move(line)
+      .Add("service", job.spec.service)
+      .Add("places", PlacesOf(job))
+      .Add("usable_upstreams", usable)
+      .Add("jobs_waiting", static_cast<int64_t>(line_.size()))
+      .Add("time_limit_us", job.spec.time_limit.count())
+      .Add("configuration", static_cast<int64_t>(control_.version));
+}
+
+std::string DirectEntry::Impl::PlacesOf(const DirectJob& job) {
+  std::map<InstanceName, size_t> counts;
+  for (const JobTask& task : job.tasks) {
+    if (task.phase == TaskPhase::kPlaced) {
+      ++counts[task.place];
+    }
+  }
+  std::string text;
+  for (const auto& [name, n] : counts) {
+    text += fmt::format("{}{}:{}", text.empty() ? "" : " ", name.value(), n);
+  }
+  return text;
+}
+
+void DirectEntry::Impl::LogPlacement(
+    Instant now,
+    const DirectJob& job,
+    size_t tasks,
+    const std::map<InstanceName, Offer>& offers) {
+  if (offers.empty()) {
+    return;
+  }
+  Duration oldest{0};
+  for (const InstanceName& name : offers | std::views::keys) {
+    oldest = std::max(oldest, now - sidecars_.at(name).heard);
+  }
+  effects_.push_back(
+      LogLine("job_placed")
+          .Add("job", job.spec.id)
+          .Add("tasks", static_cast<int64_t>(tasks))
+          .Add("places", PlacesOf(job))
+          .Add("waited_us", (now - job.arrived).count())
+          .Add("oldest_view_us", oldest.count())
+          .Add("configuration", static_cast<int64_t>(control_.version)));
+}
+
+}  // namespace filbertwick::core::direct
--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -1,4 +1,5 @@
 #include "filbertwick/core/direct/direct_entry_impl.h"
+#include "filbertwick/core/direct/names.h"
 
 namespace filbertwick::core::direct {
 namespace {
@@ -99,6 +100,7 @@
     offers[view.name].tasks.push_back({run, step.needs, step.estimate.count()});
   }
   ++job.next_run;
+  LogPlacement(now, job, tasks.size(), offers);
   for (auto& [name, offer] : offers) {
     const uint64_t id = ++last_offer_;
     SidecarView& view = sidecars_.at(name);
@@ -292,7 +294,7 @@
                          .Add("job", job.spec.id)
                          .Add("task", end.run.task)
                          .Add("sidecar", view.name.value())
-                         .Add("kind", static_cast<int64_t>(end.kind))
+                         .Add("kind", ToString(end.kind))
                          .Add("took_us", end.took_micros));
   if (end.kind == EndKind::kFailed &&
       ++task.failures >= job.spec.max_attempts) {
--- a/filbertwick/core/direct/direct_sidecar_upstream.cc
+++ b/filbertwick/core/direct/direct_sidecar_upstream.cc
@@ -1,4 +1,5 @@
 #include "filbertwick/core/direct/direct_sidecar_impl.h"
+#include "filbertwick/core/direct/names.h"
 
 namespace filbertwick::core::direct {
 namespace {
@@ -220,7 +221,7 @@
     default:
       effects_.push_back(LogLine("start_refused")
                              .Add("task", id.task)
-                             .Add("answer", static_cast<int64_t>(answer)));
+                             .Add("answer", ToString(answer)));
       EndRun(now, id, EndKind::kNotStarted);
   }
 }
--- /dev/null
+++ b/filbertwick/core/direct/names.h
@@ -0,0 +1,20 @@
+#ifndef FILBERTWICK_CORE_DIRECT_NAMES_H_
+#define FILBERTWICK_CORE_DIRECT_NAMES_H_
+
+#include <string_view>
+
+#include "filbertwick/core/direct/entry_effect.h"
+#include "filbertwick/core/direct/message.h"
+#include "filbertwick/core/direct/sidecar_effect.h"
+
+namespace filbertwick::core::direct {
+
+// Words for logs and metrics, lower case with underscores.
+
+std::string_view ToString(JobOutcome outcome);
+std::string_view ToString(EndKind kind);
+std::string_view ToString(OrderAnswer answer);
+
+}  // namespace filbertwick::core::direct
+
+#endif  // FILBERTWICK_CORE_DIRECT_NAMES_H_
--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "filbertwick/core/direct/direct_entry.h"
+#include "filbertwick/core/direct/names.h"
 #include "filbertwick/http/server.h"
 #include "filbertwick/http/target.h"
 #include "filbertwick/platform/job_codec.h"
@@ -214,25 +215,13 @@
   }
   void Do(const LogLine& line) { context_.log(line); }
   void Do(const AnswerJobEffect& answer) {
-    context_.counters.Get(CounterOf(answer.outcome)).Add();
+    context_.counters
+        .Get("jobs_" + std::string(ToString(answer.outcome)) + "_total")
+        .Add();
     context_.counters.GetHistogram("job_seconds").Add(answer.age);
     Respond(answer.request, ResponseTo(answer));
   }
 
-  static std::string_view CounterOf(JobOutcome outcome) {
-    switch (outcome) {
-      case JobOutcome::kCompleted:
-        return "jobs_completed_total";
-      case JobOutcome::kFailed:
-        return "jobs_failed_total";
-      case JobOutcome::kRefused:
-        return "jobs_refused_total";
-      case JobOutcome::kTimedOut:
-        break;
-    }
-    return "jobs_timed_out_total";
-  }
-
   void Respond(uint64_t request, http::Response response) {
     const auto it = responders_.find(request);
     if (it == responders_.end()) {
--- a/filbertwick/tool/explain_command.cc
+++ b/filbertwick/tool/explain_command.cc
@@ -1,25 +1,38 @@
+#include <absl/status/status.h>
+
+#include <fstream>
+#include <iostream>
 #include <memory>
+#include <utility>
 
 #include "filbertwick/tool/command_table.h"
 #include "filbertwick/tool/entry_client.h"
 #include "filbertwick/tool/job_target.h"
+#include "filbertwick/tool/log_story.h"
 #include "filbertwick/tool/report.h"
 
 namespace filbertwick::tool {
 namespace {
 
 constexpr std::string_view kPrefix = "explain";
+/// The job, and a log of each instance of a large fleet.
+constexpr size_t kMaxLogs = 1001;
 
 /// Tells what was decided about one job.
 class ExplainCommand : public Command {
  public:
   CommandInfo Info() const override {
-    return {"explain",
-            "JOB",
-            "tell what was decided about a recent job",
-            "One line a step, oldest first.\n",
-            1,
-            1};
+    return {
+        "explain",
+        "JOB [LOG...]",
+        "tell what was decided about a job",
+        "One line a step, oldest first. Without LOG an entry is asked about\n"
+        "a recent job. With LOG the story is told from the logs of\n"
+        "filbertwick-platform, of all instances together; - is standard\n"
+        "input. Indented lines tell what those involved learned "
+        "meanwhile.\n",
+        1,
+        kMaxLogs};
   }
 
   std::vector<Option> Options() override {
@@ -31,6 +44,9 @@
 
   ExitCode Run(std::span<const std::string> operands,
                const Environment& environment) override {
+    if (operands.size() > 1) {
+      return TellFromLogs(operands[0], operands.subspan(1), environment);
+    }
     auto client = EntryClient::Create(entry_, environment);
     if (!client.ok()) {
       return ReportError(environment, kPrefix, client.status());
@@ -54,6 +70,31 @@
   }
 
  private:
+  static ExitCode TellFromLogs(const std::string& job,
+                               std::span<const std::string> files,
+                               const Environment& environment) {
+    std::vector<std::string> lines;
+    for (const std::string& file : files) {
+      std::ifstream stream(file);
+      std::istream& in = file == "-" ? std::cin : stream;
+      if (!in) {
+        return ReportError(environment, kPrefix,
+                           absl::NotFoundError("can't read " + file));
+      }
+      for (std::string line; std::getline(in, line);) {
+        lines.push_back(std::move(line));
+      }
+    }
+    const std::vector<std::string> story = TellStory(job, lines);
+    for (const std::string& line : story) {
+      environment.out(line + "\n");
+    }
+    return story.empty()
+               ? ReportError(environment, kPrefix,
+                             absl::NotFoundError("no line names " + job))
+               : ExitCode::kOk;
+  }
+
   EntryOptions entry_;
   bool json_ = false;
 };
--- a/soak/instance.cc
+++ b/soak/instance.cc
@@ -4,6 +4,7 @@
 #include <sys/wait.h>
 
 #include <csignal>
+#include <string_view>
 #include <utility>
 
 namespace filbertwick::soak {
@@ -12,6 +13,10 @@
 /// Between SIGTERM and SIGKILL, as on the platform.
 constexpr Duration kGrace = std::chrono::seconds(6);
 
+/// Processes end with the soak, however that ends.
+constexpr std::string_view kSetpriv = "/usr/bin/setpriv";
+constexpr std::string_view kEnv = "/usr/bin/env";
+
 std::string Describe(int status) {
   return WIFSIGNALED(status) ? fmt::format("signal {}", WTERMSIG(status))
                              : fmt::format("status {}", WEXITSTATUS(status));
@@ -40,7 +45,8 @@
     return absl::OkStatus();
   }
   auto process = bench::ChildProcess::StartLogged(
-      {"/usr/bin/env", "FILBERTWICK_SETTINGS=" + settings_file_, program_},
+      {std::string(kSetpriv), "--pdeathsig", "KILL", std::string(kEnv),
+       "FILBERTWICK_SETTINGS=" + settings_file_, program_},
       log_);
   if (!process.ok()) {
     return process.status();
--- a/soak/upstream.cc
+++ b/soak/upstream.cc
@@ -181,7 +181,7 @@
   runs_.reset();
   observer_.OnUpstreamGone(settings_.name);
   for (const Wait& wait : std::exchange(waits_, {})) {
-    wait.respond({503, {}, ""});
+    wait.respond({http::kNoResponse, {}, ""});
   }
   draining_ = false;
   drain_taken_.reset();
@@ -259,14 +259,16 @@
 }
 
 void Upstream::Impl::OnAnnounced(const http::CallResult& result) {
-  if (result.response.ok() && result.response->status == 200 && !drain_taken_) {
+  if (runs_ && !drain_taken_ && result.response.ok() &&
+      result.response->status == 200) {
     drain_taken_ = MonotonicClock::now();
   }
 }
 
 void Upstream::Impl::Take(const Request& request, const Responder& respond) {
   if (!runs_) {
-    return;  // A dead process answers nothing.
+    respond({http::kNoResponse, {}, ""});
+    return;
   }
   if (late_ && random_.Chance(kLateShare)) {
     Schedule(request);
--- a/unit_tests/direct_entry_test.cc
+++ b/unit_tests/direct_entry_test.cc
@@ -50,6 +50,9 @@
         std::ranges::copy(send->message.stops, std::back_inserter(stops));
       } else if (auto* answer = std::get_if<AnswerJobEffect>(&effect)) {
         answers.push_back(*answer);
+      } else if (const auto* line =
+                     std::get_if<filbertwick::LogLine>(&effect)) {
+        lines.push_back(line->Text());
       }
     }
   }
@@ -128,6 +131,7 @@
   std::vector<std::pair<size_t, Offer>> offers;
   std::vector<TaskRun> stops;
   std::vector<AnswerJobEffect> answers;
+  std::vector<std::string> lines;
   int64_t asked[2] = {0, 0};
   uint64_t last_end[2] = {0, 0};
   uint64_t last_request = 0;
@@ -148,6 +152,28 @@
   cr_assert_eq(it.answers.front().outcome, JobOutcome::kCompleted);
 }
 
+Test(direct_entry, logs_where_a_job_goes_and_why_it_is_refused) {
+  Fixture it;
+  const auto has = [&](std::string_view event, std::string_view text) {
+    return std::ranges::any_of(it.lines, [&](const std::string& line) {
+      return line.find(event) != line.npos && line.find(text) != line.npos;
+    });
+  };
+  it.Submit(it.Job("j", 3));
+  cr_assert(has("job_placed", R"("job":"j","tasks":3,"places":"s0:)"));
+  cr_assert(has("job_placed", "oldest_view_us"));
+  for (const auto& [n, run] : it.TakeOffers()) {
+    it.End(n, run, EndKind::kDone);
+  }
+  cr_assert(has("job_completed", R"("job":"j")"));
+  AttendedJob large = it.Job("k", 1);
+  large.steps.front().needs.cpu_millis = 5 * kTaskCpu;
+  it.Submit(large);
+  cr_assert(has("job_refused", R"("usable_upstreams":2,"jobs_waiting":0)"),
+            "%s", it.lines.back().c_str());
+  cr_assert_not(has("job_completed", R"("job":"k")"));
+}
+
 Test(direct_entry, refuses_at_once_what_no_upstream_can_hold) {
   Fixture it;
   AttendedJob job = it.Job("j", 1);
--- a/unit_tests/tool_test.cc
+++ b/unit_tests/tool_test.cc
@@ -9,6 +9,7 @@
 #include "filbertwick/base/file.h"
 #include "filbertwick/json/text_writer.h"
 #include "filbertwick/tool/command_table.h"
+#include "filbertwick/tool/log_story.h"
 #include "tool_fixture.h"
 
 namespace {
@@ -328,3 +329,28 @@
 }
 
 }  // namespace
+
+Test(log_story, follows_one_job_over_instances) {
+  const std::vector<std::string> lines = {
+      R"(1.2 s1 {"unix_ms":1500,"instance":"s1","event":"upstream_left",)"
+      R"("upstream":"u"})",
+      R"({"unix_ms":1480,"instance":"e","event":"job_placed","job":"7f",)"
+      R"("tasks":2,"places":"s1:1 s2:1"})",
+      R"({"unix_ms":1490,"instance":"s2","event":"start_refused",)"
+      R"("task":"7f.0.0.1","answer":"fenced"})",
+      R"({"unix_ms":1490,"instance":"s3","event":"upstream_left"})",
+      R"({"unix_ms":1491,"instance":"e","event":"job_placed","job":"7f0"})",
+      R"({"unix_ms":1492,"instance":"e","event":"sidecar_given_up",)"
+      R"("sidecar":"s3"})",
+      "no JSON at all",
+      R"({"unix_ms":2480,"instance":"e","event":"job_timed_out","job":"7f"})"};
+  const auto story = filbertwick::tool::TellStory("7f", lines);
+  cr_assert_eq(story.size(), 4);
+  cr_assert(story[0] ==
+            "     +0 ms e job_placed job=7f places=s1:1 s2:1 tasks=2");
+  cr_assert(story[1] ==
+            "    +10 ms s2 start_refused answer=fenced task=7f.0.0.1");
+  cr_assert(story[2] == "    +20 ms   s1 upstream_left upstream=u");
+  cr_assert(story[3] == "  +1000 ms e job_timed_out job=7f");
+  cr_assert(filbertwick::tool::TellStory("7e", lines).empty());
+}
