--- a/filbertwick/platform/peer_service.cc
+++ b/filbertwick/platform/peer_service.cc
@@ -27,6 +27,8 @@
 /// New instances also announce themselves to one another.
 constexpr Duration kInstancesPoll = std::chrono::seconds(10);
 constexpr Duration kRegisterPause = std::chrono::milliseconds(500);
+/// Port for collectors of metrics; deploy/system.toml names it too.
+constexpr uint16_t kMetricsPort = 9464;
 
 }  // namespace
 
@@ -70,21 +72,33 @@
 
  private:
   absl::Status Listen(const PlatformSettings& settings) {
-    http::ServerSettings http;
-    http.host = settings.host;
-    http.port = settings.peer_port;
-    auto server = http::Server::Create(
-        context_.io, http,
-        [this](const http::Request& request, const http::Responder& respond) {
-          respond(Serve(request));
-        });
+    auto server = ListenAt({settings.host, settings.peer_port});
     if (!server.ok()) {
       return server.status();
     }
     server_ = *std::move(server);
+    // The same pages on a port that collectors know; jobs run without it.
+    auto metrics = ListenAt({settings.host, kMetricsPort});
+    if (!metrics.ok()) {
+      context_.log(LogLine("metrics_not_served").Cause(metrics.status()));
+      return absl::OkStatus();
+    }
+    metrics_ = *std::move(metrics);
     return absl::OkStatus();
   }
 
+  absl::StatusOr<std::unique_ptr<http::Server>> ListenAt(
+      const Address& address) {
+    http::ServerSettings http;
+    http.host = address.host;
+    http.port = address.port;
+    return http::Server::Create(
+        context_.io, http,
+        [this](const http::Request& request, const http::Responder& respond) {
+          respond(Serve(request));
+        });
+  }
+
   http::Response Serve(const http::Request& request) const {
     if (request.target == "/control") {
       return control_->Serve();
@@ -185,6 +199,7 @@
   boost::asio::steady_timer timer_;
   std::unique_ptr<StoreClient> store_;
   std::unique_ptr<http::Server> server_;
+  std::unique_ptr<http::Server> metrics_;
   std::unique_ptr<ControlFollower> control_;
   std::unique_ptr<net::InstanceNet> net_;
   std::unique_ptr<TopicTail> instances_;
