explain: look further when a job has no last word; lint again when headers beside a source change

A job whose entry died has a job_placed line and nothing else; its story now goes on for ten seconds, until those involved tell that they started again.

The stamps of lint knew the headers of the product only: a change of a header in bench, soak or unit_tests left the sources that include it unchecked.

--- a/filbertwick/tool/log_story.cc
+++ b/filbertwick/tool/log_story.cc
@@ -4,6 +4,7 @@
 #include <json/json.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -18,6 +19,10 @@
 /// The last word on a job may be followed by the end of its cause.
 constexpr int64_t kTailMillis = 500;
 
+/// A job without a last word: those involved may have died, and tell so when
+/// they start again.
+constexpr int64_t kOpenTailMillis = 10'000;
+
 struct Entry {
   int64_t unix_millis = 0;
   std::string instance;
@@ -56,6 +61,13 @@
           task[job.size()] == '.');
 }
 
+bool IsLastWord(const Entry& entry) {
+  constexpr std::array<std::string_view, 6> kLastWords = {
+      "job_completed", "job_failed",  "job_refused",
+      "job_timed_out", "caller_gone", "request_refused"};
+  return std::ranges::count(kLastWords, entry.event) > 0;
+}
+
 /// Instances that the line names: where it was written, and where tasks went.
 void AddInstances(const Entry& entry, std::set<std::string>& instances) {
   instances.insert(entry.instance);
@@ -119,12 +131,15 @@
     return story;
   }
   const int64_t begin = about.front()->unix_millis;
-  const int64_t end = about.back()->unix_millis;
+  const bool has_last_word = std::ranges::any_of(
+      about, [](const Entry* entry) { return IsLastWord(*entry); });
+  const int64_t end = about.back()->unix_millis +
+                      (has_last_word ? kTailMillis : kOpenTailMillis);
   for (const Entry& entry : entries) {
     const bool is_about = IsAbout(entry, job);
-    if (is_about || (entry.unix_millis >= begin - kLeadMillis &&
-                     entry.unix_millis <= end + kTailMillis &&
-                     IsBackground(entry, instances))) {
+    if (is_about ||
+        (entry.unix_millis >= begin - kLeadMillis && entry.unix_millis <= end &&
+         IsBackground(entry, instances))) {
       story.push_back(Format(entry, begin, !is_about));
     }
   }
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,7 +10,7 @@
 mkdir -p "$stamps"
 lint_one() {
   local source=$1 build=$2 stamps=$3 key
-  key=$({ cat .clang-tidy "$source"; git ls-files -co --exclude-standard 'filbertwick/*.h' | sort | xargs cat; } | sha1sum | cut -d' ' -f1)
+  key=$({ cat .clang-tidy "$source"; git ls-files -co --exclude-standard 'filbertwick/*.h' "${source%%/*}/*.h" | sort -u | xargs cat; } | sha1sum | cut -d' ' -f1)
   [ -f "$stamps/$key" ] && return 0
   clang-tidy-16 --quiet -p "$build" "$source" 2>/dev/null || { echo "lint failed: $source"; return 1; }
   touch "$stamps/$key"
--- a/unit_tests/tool_test.cc
+++ b/unit_tests/tool_test.cc
@@ -354,3 +354,13 @@
   cr_assert(story[3] == "  +1000 ms e job_timed_out job=7f");
   cr_assert(filbertwick::tool::TellStory("7e", lines).empty());
 }
+
+Test(log_story, looks_further_when_there_is_no_last_word) {
+  const std::vector<std::string> lines = {
+      R"({"unix_ms":1000,"instance":"e","event":"job_placed","job":"7f"})",
+      R"({"unix_ms":6000,"instance":"e","event":"started"})",
+      R"({"unix_ms":12000,"instance":"e","event":"store_lost"})"};
+  const auto story = filbertwick::tool::TellStory("7f", lines);
+  cr_assert_eq(story.size(), 2);
+  cr_assert(story[1] == "  +5000 ms   e started");
+}
