--- a/filbertwick/standin/platform_store.cc
+++ b/filbertwick/standin/platform_store.cc
@@ -3,9 +3,8 @@
 #include <fmt/format.h>
 #include <sodium.h>
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
-#include <iterator>
-#include <list>
 #include <map>
 #include <utility>
 #include <vector>
@@ -182,15 +181,19 @@
       respond(Batch(log, from));
       return;
     }
-    polls_.push_back({topic, from, respond, nullptr});
-    const auto it = std::prev(polls_.end());
-    it->timer = std::make_unique<boost::asio::steady_timer>(
+    const uint64_t id = ++last_poll_;
+    Poll& poll = polls_[id];
+    poll.topic = topic;
+    poll.from = from;
+    poll.respond = respond;
+    poll.timer = std::make_unique<boost::asio::steady_timer>(
         context_, std::chrono::milliseconds(wait_ms));
-    it->timer->async_wait(
-        [weak = weak_from_this(), it](boost::system::error_code ec) {
+    // By number: a timer that has fired already may find its poll answered.
+    poll.timer->async_wait(
+        [weak = weak_from_this(), id](boost::system::error_code ec) {
           const auto self = weak.lock();
           if (!ec && self) {
-            self->Finish(it);
+            self->Finish(id);
           }
         });
   }
@@ -210,25 +213,31 @@
     return response;
   }
 
-  void Finish(std::list<Poll>::iterator poll) {
-    poll->respond(down_ ? Status(503)
-                        : Batch(topics_[poll->topic], poll->from));
-    polls_.erase(poll);
+  void Finish(uint64_t id) {
+    const auto it = polls_.find(id);
+    if (it == polls_.end()) {
+      return;
+    }
+    const Poll poll = std::move(it->second);
+    polls_.erase(it);
+    poll.respond(down_ ? Status(503) : Batch(topics_[poll.topic], poll.from));
   }
 
   void AnswerPolls() {
-    for (auto it = polls_.begin(); it != polls_.end();) {
-      const auto poll = it++;
-      if (topics_[poll->topic].end > poll->from) {
-        Finish(poll);
+    std::vector<uint64_t> due;
+    for (const auto& [id, poll] : polls_) {
+      if (topics_[poll.topic].end > poll.from) {
+        due.push_back(id);
       }
     }
+    std::ranges::for_each(due, [this](uint64_t id) { Finish(id); });
   }
 
   boost::asio::io_context& context_;
   std::unique_ptr<http::Server> server_;
   std::map<std::string, Topic, std::less<>> topics_;
-  std::list<Poll> polls_;
+  std::map<uint64_t, Poll> polls_;
+  uint64_t last_poll_ = 0;
   bool down_ = false;
 };
 
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -29,6 +29,10 @@
 constexpr int kMaxAttempts = 4;
 constexpr uint32_t kMaxTasks = 3;
 constexpr uint64_t kMaxRunMillis = 150;
+/// Some tasks outlast the time after which a caller sends again, so that a run
+/// left behind would meet the next one.
+constexpr uint64_t kMaxLongRunMillis = 2500;
+constexpr double kLongShare = 0.1;
 
 }  // namespace
 
@@ -153,7 +157,9 @@
   job->sticky = random_.Chance(0.5);
   job->entry = random_.Below(clients_.size());
   const uint32_t tasks = 1 + static_cast<uint32_t>(random_.Below(kMaxTasks));
-  const uint64_t length = 1 + random_.Below(kMaxRunMillis);
+  const uint64_t length =
+      1 + random_.Below(random_.Chance(kLongShare) ? kMaxLongRunMillis
+                                                   : kMaxRunMillis);
   job->body = fmt::format(
       R"({{"spec":"run {}","best-effort":true,"steps":[{{"count":{},)"
       R"("cpu":1000,"mem-mb":100,"estimate-ms":{}}}]}})",
--- a/soak/instance.cc
+++ b/soak/instance.cc
@@ -4,7 +4,9 @@
 #include <sys/wait.h>
 
 #include <csignal>
+#include <filesystem>
 #include <string_view>
+#include <system_error>
 #include <utility>
 
 namespace filbertwick::soak {
@@ -17,6 +19,13 @@
 constexpr std::string_view kSetpriv = "/usr/bin/setpriv";
 constexpr std::string_view kEnv = "/usr/bin/env";
 
+/// 0 for a file that is not there yet.
+uintmax_t SizeOf(const std::string& file) {
+  std::error_code ec;
+  const uintmax_t size = std::filesystem::file_size(file, ec);
+  return ec ? 0 : size;
+}
+
 std::string Describe(int status) {
   return WIFSIGNALED(status) ? fmt::format("signal {}", WTERMSIG(status))
                              : fmt::format("status {}", WEXITSTATUS(status));
@@ -44,6 +53,7 @@
     start_after_stop_ = stop_asked_.has_value();
     return absl::OkStatus();
   }
+  const uintmax_t log_size = SizeOf(log_);
   auto process = bench::ChildProcess::StartLogged(
       {std::string(kSetpriv), "--pdeathsig", "KILL", std::string(kEnv),
        "FILBERTWICK_SETTINGS=" + settings_file_, program_},
@@ -52,6 +62,7 @@
     return process.status();
   }
   process_ = *std::move(process);
+  log_size_at_start_ = log_size;
   stop_asked_.reset();
   start_after_stop_ = false;
   paused_ = false;
@@ -111,7 +122,11 @@
     }
     return;
   }
-  if (!stop_asked_ || *end != 0) {
+  // A stop that comes before the program has begun ends it at once.
+  const bool never_began = stop_asked_ && WIFSIGNALED(*end) &&
+                           WTERMSIG(*end) == SIGTERM &&
+                           SizeOf(log_) == log_size_at_start_;
+  if (!never_began && (!stop_asked_ || *end != 0)) {
     observer_.Report("exit", fmt::format("{} ended by itself with {}", name_,
                                          Describe(*end)));
   }
--- a/soak/instance.h
+++ b/soak/instance.h
@@ -3,6 +3,7 @@
 
 #include <absl/status/status.h>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -45,6 +46,8 @@
   Observer& observer_;
   std::unique_ptr<bench::ChildProcess> process_;
   std::optional<Instant> stop_asked_;
+  /// A process that has written nothing since never began.
+  uintmax_t log_size_at_start_ = 0;
   bool start_after_stop_ = false;
   bool paused_ = false;
   /// Time spent frozen does not count against the grace.
