--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -31,7 +31,7 @@
 constexpr uint64_t kMaxRunMillis = 150;
 /// Some tasks outlast the time after which a caller sends again, so that a run
 /// left behind would meet the next one.
-constexpr uint64_t kMaxLongRunMillis = 2500;
+constexpr uint64_t kMaxLongRunMillis = 3500;
 constexpr double kLongShare = 0.1;
 
 }  // namespace
@@ -51,13 +51,6 @@
   }
 
   void Start() { LookForReady(); }
-  void Close() {
-    closed_ = true;
-    load_timer_.cancel();
-    ready_timer_.cancel();
-    clients_.clear();
-    readiness_.clear();
-  }
   void SetLoad(bool on);
   void Submit(std::string_view path_prefix, DoneHook done);
   size_t open_jobs() const { return open_; }
@@ -108,7 +101,6 @@
   Clients clients_;
   Clients readiness_;
   size_t open_ = 0;
-  bool closed_ = false;
 };
 
 void Callers::Impl::LookForReady() {
@@ -123,7 +115,7 @@
   ready_timer_.expires_after(kReadyInterval);
   ready_timer_.async_wait([weak = weak_from_this()](const ErrorCode& ec) {
     const auto self = weak.lock();
-    if (!ec && self && !self->closed_) {
+    if (!ec && self) {
       self->LookForReady();
     }
   });
@@ -142,7 +134,7 @@
   load_timer_.expires_after(Duration(static_cast<int64_t>(wait)));
   load_timer_.async_wait([weak = weak_from_this()](const ErrorCode& ec) {
     const auto self = weak.lock();
-    if (!ec && self && !self->closed_) {
+    if (!ec && self) {
       self->Submit(self->settings_.path_prefix, [](bool) {});
       self->ScheduleNext();
     }
@@ -250,7 +242,7 @@
   const auto timer = std::make_shared<asio::steady_timer>(context_, wait);
   timer->async_wait([weak = weak_from_this(), timer, job](const ErrorCode& ec) {
     const auto self = weak.lock();
-    if (!ec && self && !self->closed_) {
+    if (!ec && self) {
       self->Send(job);
     }
   });
@@ -263,9 +255,7 @@
 
 Callers::Callers(std::shared_ptr<Impl> impl) : impl_(std::move(impl)) {}
 
-Callers::~Callers() {
-  impl_->Close();
-}
+Callers::~Callers() = default;
 
 std::unique_ptr<Callers> Callers::Create(asio::io_context& context,
                                          CallerSettings settings,
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -23,7 +23,7 @@
   std::vector<Endpoint> readiness;
   std::string host;
   std::string path_prefix;
-  double jobs_per_second = 40;
+  double jobs_per_second = 30;
   uint64_t seed = 0;
 };
 
--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -16,11 +16,13 @@
 namespace {
 
 constexpr std::array<std::string_view, kFaultKinds> kNames = {
-    "kill",          "kill_all",       "stop",          "pause",   "reload",
-    "upstream_dies", "upstream_hangs", "upstream_late", "drain",   "relay",
-    "store_down",    "store_compact",  "configuration", "zone_out"};
+    "kill",          "kill_all",        "stop",
+    "pause",         "pause_and_reset", "reload",
+    "upstream_dies", "upstream_hangs",  "upstream_late",
+    "drain",         "relay",           "store_down",
+    "store_compact", "configuration",   "zone_out"};
 /// Faults for each instance of a fleet, and at least.
-constexpr size_t kFaultsPerThreeInstances = 4;
+constexpr size_t kFaultsPerThreeInstances = 7;
 constexpr size_t kMinFaults = 6;
 constexpr Duration kShortest = std::chrono::milliseconds(100);
 constexpr Duration kLongest = std::chrono::milliseconds(4000);
@@ -48,6 +50,15 @@
   return n;
 }
 
+/// The instance that is meant; any for most faults.
+size_t InstanceOf(const Fleet& fleet, const Fault& fault) {
+  size_t n = fault.target % fleet.instances();
+  while (fault.kind == FaultKind::kPauseAndReset && !fleet.IsEntry(n)) {
+    n = (n + 1) % fleet.instances();
+  }
+  return n;
+}
+
 void ForAll(Fleet& fleet, const std::function<void(size_t)>& act) {
   for (size_t n = 0; n < fleet.instances(); ++n) {
     act(n);
@@ -78,6 +89,10 @@
     case FaultKind::kPause:
       instance.Pause();
       break;
+    case FaultKind::kPauseAndReset:
+      instance.Pause();
+      fleet.relay(n, RelayPlace::kCallers)->ResetAll();
+      break;
     case FaultKind::kReload:
       instance.Reload();
       break;
@@ -95,7 +110,8 @@
       fault.kind == FaultKind::kKillAll) {
     // A start that fails is seen by Heal(), which starts all again.
     instance.Start().IgnoreError();
-  } else if (fault.kind == FaultKind::kPause) {
+  } else if (fault.kind == FaultKind::kPause ||
+             fault.kind == FaultKind::kPauseAndReset) {
     instance.Resume();
   } else if (fault.kind == FaultKind::kRelay) {
     SetRelay(fleet, fault, n, false);
@@ -153,7 +169,7 @@
                      true);
       break;
     default:
-      BeginAtInstance(fleet, fault, fault.target % fleet.instances());
+      BeginAtInstance(fleet, fault, InstanceOf(fleet, fault));
       break;
   }
 }
@@ -181,7 +197,7 @@
                      false);
       break;
     default:
-      EndAtInstance(fleet, fault, fault.target % fleet.instances());
+      EndAtInstance(fleet, fault, InstanceOf(fleet, fault));
       break;
   }
 }
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -17,6 +17,8 @@
   kKillAll,
   kStop,
   kPause,
+  /// An entry stands still and its callers' connections break.
+  kPauseAndReset,
   kReload,
   kUpstreamDies,
   kUpstreamHangs,
@@ -28,7 +30,7 @@
   kConfiguration,
   kZoneOut,
 };
-inline constexpr size_t kFaultKinds = 14;
+inline constexpr size_t kFaultKinds = 15;
 
 /// A disturbance of a fleet, from a time on for some time.
 struct Fault {
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -125,7 +125,7 @@
   PublishConfiguration();
   machines_.resize(size());
   for (size_t n = 0; n < size(); ++n) {
-    if (const absl::Status status = AddMachine(n); !status.ok()) {
+    if (absl::Status status = AddMachine(n); !status.ok()) {
       return status;
     }
   }
@@ -136,7 +136,7 @@
   });
   AddCallers();
   for (const auto& instance : instances_) {
-    if (const absl::Status status = instance->Start(); !status.ok()) {
+    if (absl::Status status = instance->Start(); !status.ok()) {
       return status;
     }
   }
@@ -149,10 +149,11 @@
   const Endpoint listen = {HostOf(n),
                            static_cast<uint16_t>(server.port + kRelayOffset)};
   auto relay = Relay::Create(context_, listen, server);
-  if (relay.ok()) {
-    machines_[n].relays[static_cast<size_t>(place)] = *std::move(relay);
+  if (!relay.ok()) {
+    return relay.status();
   }
-  return relay.status();
+  machines_[n].relays[static_cast<size_t>(place)] = *std::move(relay);
+  return absl::OkStatus();
 }
 
 absl::Status Fleet::Impl::AddMachine(size_t n) {
@@ -308,7 +309,7 @@
     const FleetSettings& settings,
     Observer& observer) {
   auto impl = std::make_unique<Impl>(context, settings, observer);
-  if (const absl::Status status = impl->Start(); !status.ok()) {
+  if (absl::Status status = impl->Start(); !status.ok()) {
     return status;
   }
   return std::unique_ptr<Fleet>(new Fleet(std::move(impl)));
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -24,7 +24,7 @@
   std::string folder;
   size_t entries = 3;
   size_t sidecars = 6;
-  double jobs_per_second = 40;
+  double jobs_per_second = 30;
   uint64_t seed = 0;
 };
 
--- a/soak/relay.cc
+++ b/soak/relay.cc
@@ -58,11 +58,6 @@
 
   void SetMode(RelayMode mode);
   void ResetAll();
-  void Close() {
-    ErrorCode ec;
-    acceptor_.close(ec);
-    ResetAll();
-  }
 
  private:
   struct Link : std::enable_shared_from_this<Link> {
@@ -89,7 +84,7 @@
   };
 
   void Accept();
-  void Connect(std::shared_ptr<Link> link);
+  void Connect(const std::shared_ptr<Link>& link);
   void Pump(const std::shared_ptr<Direction>& direction);
   void Forward(const std::shared_ptr<Direction>& direction, size_t n);
   void Write(const std::shared_ptr<Direction>& direction, size_t n);
@@ -139,15 +134,15 @@
         if (!ec && self->mode_ == RelayMode::kReset) {
           Reset(socket);
         } else if (!ec) {
-          auto link = std::make_shared<Link>(self->context_);
+          const auto link = std::make_shared<Link>(self->context_);
           link->client = std::move(socket);
-          self->Connect(std::move(link));
+          self->Connect(link);
         }
         self->Accept();
       });
 }
 
-void Relay::Impl::Connect(std::shared_ptr<Link> link) {
+void Relay::Impl::Connect(const std::shared_ptr<Link>& link) {
   links_.insert(link);
   link->server.async_connect(
       server_, [weak = weak_from_this(), link](const ErrorCode& ec) {
@@ -230,15 +225,13 @@
 
 Relay::Relay(std::shared_ptr<Impl> impl) : impl_(std::move(impl)) {}
 
-Relay::~Relay() {
-  impl_->Close();
-}
+Relay::~Relay() = default;
 
 absl::StatusOr<std::unique_ptr<Relay>> Relay::Create(asio::io_context& context,
                                                      const Endpoint& listen,
                                                      const Endpoint& server) {
   auto impl = std::make_shared<Impl>(context, server);
-  if (const absl::Status status = impl->Listen(listen); !status.ok()) {
+  if (absl::Status status = impl->Listen(listen); !status.ok()) {
     return status;
   }
   return std::unique_ptr<Relay>(new Relay(std::move(impl)));
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -9,6 +9,7 @@
 #include <charconv>
 #include <cstdint>
 #include <cstdio>
+#include <exception>
 #include <filesystem>
 #include <memory>
 #include <random>
@@ -294,5 +295,11 @@
 }  // namespace filbertwick::soak
 
 int main(int argc, char** argv) {
-  return filbertwick::soak::Main(argc, argv);
+  try {
+    return filbertwick::soak::Main(argc, argv);
+  } catch (const std::exception& error) {
+    // Such as a full disk: the processes end with this one.
+    std::fprintf(stderr, "soak: %s\n", error.what());
+    return 2;
+  }
 }
--- a/soak/upstream.cc
+++ b/soak/upstream.cc
@@ -86,11 +86,6 @@
         announce_(context) {}
 
   absl::Status Listen();
-  void Close() {
-    closed_ = true;
-    tick_.cancel();
-    announce_.cancel();
-  }
   void Advance() {
     if (runs_) {
       runs_->Advance(Now());
@@ -149,7 +144,6 @@
   bool hanging_ = false;
   bool late_ = false;
   bool draining_ = false;
-  bool closed_ = false;
   std::optional<Instant> drain_taken_;
   std::optional<Instant> zone_out_since_;
 };
@@ -221,7 +215,7 @@
   tick_.expires_after(kTick);
   tick_.async_wait([weak = weak_from_this()](const ErrorCode& ec) {
     const auto self = weak.lock();
-    if (!ec && self && !self->closed_) {
+    if (!ec && self) {
       self->Tick();
     }
   });
@@ -252,7 +246,7 @@
   announce_.expires_after(kAnnounceInterval);
   announce_.async_wait([weak = weak_from_this()](const ErrorCode& ec) {
     const auto self = weak.lock();
-    if (!ec && self && !self->closed_) {
+    if (!ec && self) {
       self->Announce();
     }
   });
@@ -285,7 +279,7 @@
   timer->async_wait(
       [weak = weak_from_this(), timer, request](const ErrorCode& ec) {
         const auto self = weak.lock();
-        if (!ec && self && self->runs_ && !self->closed_) {
+        if (!ec && self && self->runs_) {
           self->CarryOut(request);
         }
       });
@@ -434,16 +428,14 @@
 
 Upstream::Upstream(std::shared_ptr<Impl> impl) : impl_(std::move(impl)) {}
 
-Upstream::~Upstream() {
-  impl_->Close();
-}
+Upstream::~Upstream() = default;
 
 absl::StatusOr<std::unique_ptr<Upstream>> Upstream::Create(
     asio::io_context& context,
     UpstreamSettings settings,
     Observer& observer) {
   auto impl = std::make_shared<Impl>(context, std::move(settings), observer);
-  if (const absl::Status status = impl->Listen(); !status.ok()) {
+  if (absl::Status status = impl->Listen(); !status.ok()) {
     return status;
   }
   return std::unique_ptr<Upstream>(new Upstream(std::move(impl)));
