--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -29,6 +29,10 @@
 constexpr int kMaxAttempts = 4;
 constexpr uint32_t kMaxTasks = 3;
 constexpr uint64_t kMaxRunMillis = 150;
+/// Some tasks outlast the time after which a caller sends again, so that a run
+/// left behind would meet the next one.
+constexpr uint64_t kMaxLongRunMillis = 3500;
+constexpr double kLongShare = 0.1;
 
 }  // namespace
 
@@ -47,13 +51,6 @@
   }
 
   void Start() { LookForReady(); }
-  void Close() {
-    closed_ = true;
-    load_timer_.cancel();
-    ready_timer_.cancel();
-    clients_.clear();
-    readiness_.clear();
-  }
   void SetLoad(bool on);
   void Submit(std::string_view path_prefix, DoneHook done);
   size_t open_jobs() const { return open_; }
@@ -104,7 +101,6 @@
   Clients clients_;
   Clients readiness_;
   size_t open_ = 0;
-  bool closed_ = false;
 };
 
 void Callers::Impl::LookForReady() {
@@ -119,7 +115,7 @@
   ready_timer_.expires_after(kReadyInterval);
   ready_timer_.async_wait([weak = weak_from_this()](const ErrorCode& ec) {
     const auto self = weak.lock();
-    if (!ec && self && !self->closed_) {
+    if (!ec && self) {
       self->LookForReady();
     }
   });
@@ -138,7 +134,7 @@
   load_timer_.expires_after(Duration(static_cast<int64_t>(wait)));
   load_timer_.async_wait([weak = weak_from_this()](const ErrorCode& ec) {
     const auto self = weak.lock();
-    if (!ec && self && !self->closed_) {
+    if (!ec && self) {
       self->Submit(self->settings_.path_prefix, [](bool) {});
       self->ScheduleNext();
     }
@@ -153,7 +149,9 @@
   job->sticky = random_.Chance(0.5);
   job->entry = random_.Below(clients_.size());
   const uint32_t tasks = 1 + static_cast<uint32_t>(random_.Below(kMaxTasks));
-  const uint64_t length = 1 + random_.Below(kMaxRunMillis);
+  const uint64_t length =
+      1 + random_.Below(random_.Chance(kLongShare) ? kMaxLongRunMillis
+                                                   : kMaxRunMillis);
   job->body = fmt::format(
       R"({{"spec":"run {}","best-effort":true,"steps":[{{"count":{},)"
       R"("cpu":1000,"mem-mb":100,"estimate-ms":{}}}]}})",
@@ -244,7 +242,7 @@
   const auto timer = std::make_shared<asio::steady_timer>(context_, wait);
   timer->async_wait([weak = weak_from_this(), timer, job](const ErrorCode& ec) {
     const auto self = weak.lock();
-    if (!ec && self && !self->closed_) {
+    if (!ec && self) {
       self->Send(job);
     }
   });
@@ -257,9 +255,7 @@
 
 Callers::Callers(std::shared_ptr<Impl> impl) : impl_(std::move(impl)) {}
 
-Callers::~Callers() {
-  impl_->Close();
-}
+Callers::~Callers() = default;
 
 std::unique_ptr<Callers> Callers::Create(asio::io_context& context,
                                          CallerSettings settings,
