Wait for what the tests wait for, not for time to pass

daemon_test slept 2 ms between two looks, control_follower_test waited 5 ms beside a signal that it did not trust.

daemon_test: the daemon says 'ready' and 'not ready' in its log when that changes, and the test waits for that line; the stand-in's counts let it wait for starts; the hook of the stop releases a semaphore. The requests that have arrived are still asked for over HTTP, which waits for the daemon's answer. control_follower_test: what is waited for is looked at after each change, on the follower's thread. Assertions and the limit of 30 s are as they were.

--- a/filbertwick/daemon/daemon.cc
+++ b/filbertwick/daemon/daemon.cc
@@ -107,6 +107,9 @@
         std::move(core->core), kMaxDecisionInputs,
         [this](const core::Core& source, core::Effects& effects) {
           Dispatch(source, effects);
+        },
+        [this](bool ready) {
+          output_.Write(kDaemonPrefix, ready ? "ready" : "not ready");
         });
     platform_ = std::make_unique<PlatformLoop>(
         settings_.log,
--- a/filbertwick/daemon/decision_loop.cc
+++ b/filbertwick/daemon/decision_loop.cc
@@ -22,10 +22,12 @@
 
 DecisionLoop::DecisionLoop(std::unique_ptr<core::Core> core,
                            size_t capacity,
-                           EffectsHook effects)
+                           EffectsHook effects,
+                           ReadyHook ready_changed)
     : core_(std::move(core)),
       inputs_(capacity),
-      effects_hook_(std::move(effects)) {}
+      effects_hook_(std::move(effects)),
+      ready_hook_(std::move(ready_changed)) {}
 
 DecisionLoop::~DecisionLoop() {
   Close();
@@ -99,7 +101,10 @@
 void DecisionLoop::RefreshReady() {
   const core::Now now = ReadClocks();
   if (now.monotonic >= next_refresh_) {
-    ready_.store(core_->Status(now).ready, std::memory_order_relaxed);
+    const bool ready = core_->Status(now).ready;
+    if (ready_.exchange(ready, std::memory_order_relaxed) != ready) {
+      ready_hook_(ready);
+    }
     next_refresh_ = now.monotonic + kReadyInterval;
   }
 }
--- a/filbertwick/daemon/decision_loop.h
+++ b/filbertwick/daemon/decision_loop.h
@@ -24,14 +24,19 @@
 /// asked for addresses.
 using EffectsHook = std::function<void(const core::Core&, core::Effects&)>;
 
+/// Told on the core's thread when its readiness changes.
+using ReadyHook = std::function<void(bool ready)>;
+
 /// Runs a core on a thread of its own: feeds it what other threads send and
 /// wakes it when it asks for it.
 class DecisionLoop {
  public:
   /// A loop that does not run yet; at most `capacity` inputs wait.
-  DecisionLoop(std::unique_ptr<core::Core> core,
-               size_t capacity,
-               EffectsHook effects);
+  DecisionLoop(
+      std::unique_ptr<core::Core> core,
+      size_t capacity,
+      EffectsHook effects,
+      ReadyHook ready_changed = [](bool) {});
   /// Ends the thread.
   ~DecisionLoop();
   DecisionLoop(const DecisionLoop&) = delete;
@@ -62,6 +67,7 @@
   std::unique_ptr<core::Core> core_;
   BoundedRing<DecisionInput> inputs_;
   EffectsHook effects_hook_;
+  ReadyHook ready_hook_;
   core::Effects effects_;
   std::atomic<bool> ready_ = false;
   Instant next_refresh_;
--- a/filbertwick/standin/start_counts.cc
+++ b/filbertwick/standin/start_counts.cc
@@ -7,11 +7,14 @@
 namespace filbertwick::standin {
 
 void StartCounts::Add(const std::string& key) {
-  const std::lock_guard lock(mutex_);
-  ++starts_;
-  if (++counts_[key] == 2) {
-    ++twice_;
+  {
+    const std::lock_guard lock(mutex_);
+    ++starts_;
+    if (++counts_[key] == 2) {
+      ++twice_;
+    }
   }
+  started_.notify_all();
 }
 
 uint32_t StartCounts::Count(const std::string& key) const {
@@ -25,6 +28,11 @@
   return starts_;
 }
 
+bool StartCounts::WaitForStarts(uint64_t n, Duration limit) const {
+  std::unique_lock lock(mutex_);
+  return started_.wait_for(lock, limit, [&] { return starts_ >= n; });
+}
+
 uint64_t StartCounts::tasks_started_twice() const {
   const std::lock_guard lock(mutex_);
   return twice_;
--- a/unit_tests/control_follower_test.cc
+++ b/unit_tests/control_follower_test.cc
@@ -1,10 +1,10 @@
 #include <criterion/criterion.h>
 
-#include <condition_variable>
 #include <functional>
+#include <future>
 #include <memory>
-#include <mutex>
 #include <string>
+#include <utility>
 
 #include "filbertwick/http/server.h"
 #include "filbertwick/platform/control_follower.h"
@@ -38,8 +38,7 @@
       client_ = StoreClient::Create(loop_.context(), {"127.0.0.1", store_port});
       follower_ = ControlFollower::Create(
           loop_.context(), *client_, std::chrono::milliseconds(200), peer_port,
-          {[this] { changed_.notify_all(); },
-           [this](const LogLine&) { changed_.notify_all(); }});
+          {[this] { Look(); }, [](const LogLine&) {}});
     });
   }
   ~Follower() {
@@ -51,15 +50,13 @@
 
   /// Waits until what is known fits; a test that never gets there times out.
   void WaitFor(const std::function<bool(const ControlBook&)>& fits) {
-    while (true) {
-      bool done = false;
-      loop_.Run([&] { done = fits(follower_->book()); });
-      if (done) {
-        return;
-      }
-      std::unique_lock lock(mutex_);
-      changed_.wait_for(lock, std::chrono::milliseconds(5));
-    }
+    std::promise<void> reached;
+    loop_.Run([&] {
+      fits_ = fits;
+      reached_ = &reached;
+      Look();
+    });
+    reached.get_future().wait();
   }
 
   /// Serves its snapshot to others; the port.
@@ -79,9 +76,17 @@
   }
 
  private:
+  /// On the loop's thread, after each change.
+  void Look() {
+    if (reached_ != nullptr && fits_(follower_->book())) {
+      std::exchange(reached_, nullptr)->set_value();
+    }
+  }
+
   LoopThread loop_;
-  std::mutex mutex_;
-  std::condition_variable changed_;
+  std::function<bool(const ControlBook&)> fits_;
+  /// Set while WaitFor() waits.
+  std::promise<void>* reached_ = nullptr;
   std::unique_ptr<StoreClient> client_;
   std::unique_ptr<ControlFollower> follower_;
   std::unique_ptr<filbertwick::http::Server> peer_;
--- a/unit_tests/daemon_test.cc
+++ b/unit_tests/daemon_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <map>
+#include <semaphore>
 #include <string>
 
 #include "filbertwick/daemon/daemon.h"
@@ -41,6 +42,10 @@
   std::unique_ptr<Daemon> daemon;
   std::atomic<int> stopped = 0;
   std::atomic<bool> clean = false;
+  /// Released when it says that it is ready.
+  std::counting_semaphore<> became_ready{0};
+  /// Released once its stop has ended.
+  std::counting_semaphore<> stop_ended{0};
 };
 
 /// Two entries and two sidecars with their upstreams, in two zones.
@@ -55,7 +60,7 @@
     }
     Publish();
     for (auto& [name, node] : nodes_) {
-      Await([&] { return node.daemon->ready(); });
+      cr_assert(node.became_ready.try_acquire_for(kStuck), "the run is stuck");
     }
   }
 
@@ -79,12 +84,12 @@
     return *std::move(response);
   }
 
+  /// Asks until the answer fits; `done` waits for a daemon's response.
   template <typename Condition>
   static void Await(Condition done) {
     const auto end = std::chrono::steady_clock::now() + kStuck;
     while (!done()) {
       cr_assert(std::chrono::steady_clock::now() < end, "the run is stuck");
-      std::this_thread::sleep_for(std::chrono::milliseconds(2));
     }
   }
 
@@ -107,10 +112,16 @@
     settings.announce_timeout = std::chrono::seconds(20);
     Node& node = nodes_[name];
     auto daemon = Daemon::Create(
-        settings, [](std::string_view) {},
+        settings,
+        [&node](std::string_view line) {
+          if (line == "daemon: ready") {
+            node.became_ready.release();
+          }
+        },
         [&node](bool clean) {
           node.clean = clean;
           ++node.stopped;
+          node.stop_ended.release();
         });
     cr_assert(daemon.ok(), "%s", daemon.status().ToString().c_str());
     node.daemon = *std::move(daemon);
@@ -228,15 +239,15 @@
     ++looks;
     return CountRequests(deployment.node("entry-a")) >= before + looks + kJobs;
   });
-  Deployment::Await(
-      [&] { return deployment.platform().starts().starts() > kTasks; });
+  cr_assert(deployment.platform().starts().WaitForStarts(kTasks + 1, kStuck),
+            "the run is stuck");
   Node& stopping = deployment.node("entry-a");
   stopping.daemon->Stop();
   cr_assert_not(stopping.daemon->ready());
   for (std::thread& caller : callers) {
     caller.join();
   }
-  Deployment::Await([&] { return stopping.stopped > 0; });
+  cr_assert(stopping.stop_ended.try_acquire_for(kStuck), "the run is stuck");
   cr_assert(stopping.clean);
   cr_assert_eq(stopping.stopped, 1);
   cr_assert_eq(complete, kJobs);
