Say once how an entry gathers and forgets what is open at a sidecar

A new life of a sidecar and one that is given up gathered offered, taken, stopped and uncertain runs each in a loop of its own: SidecarView::TakeOpenRuns serves both. A stop is forgotten in one place. TakeLastBehind returns an optional rather than a vector of one; its test compares with the same job. Parameters that nothing read, a map that was cleared twice and a condition that chose 'true' are gone.

--- a/filbertwick/core/direct/direct_entry.cc
+++ b/filbertwick/core/direct/direct_entry.cc
@@ -49,10 +49,8 @@
   }
   if (line_.size() >= settings_.max_waiting) {
     const auto last = line_.TakeLastBehind(RankOf(added));
-    DirectJob* victim = last.empty() ? &added : jobs_.Find(last.front());
-    const bool is_added = victim == &added;
-    Refuse(now, *victim, "line_full");
-    if (is_added) {
+    Refuse(now, last ? *jobs_.Find(*last) : added, "line_full");
+    if (!last) {
       return;
     }
   }
--- a/filbertwick/core/direct/direct_entry_impl.h
+++ b/filbertwick/core/direct/direct_entry_impl.h
@@ -87,7 +87,7 @@
   // Sidecars.
   void BeginLife(SidecarView& view, uint64_t incarnation);
   void TakeReply(Instant now, SidecarView& view, const OfferReply& reply);
-  void TakeRefusal(Instant now, const TaskRun& run, Refusal refusal);
+  void TakeRefusal(const TaskRun& run, Refusal refusal);
   void TakeEnd(Instant now, SidecarView& view, const RunEnd& end);
   void TakeTaskEnd(Instant now,
                    SidecarView& view,
@@ -95,7 +95,9 @@
                    JobTask& task,
                    const RunEnd& end);
   void StopRun(Instant now, SidecarView& view, const TaskRun& run);
-  void ReadyAgain(Instant now, DirectJob& job, JobTask& task);
+  /// The run is gone; true when it was to be stopped.
+  bool ForgetStop(SidecarView& view, const TaskRun& run);
+  void ReadyAgain(DirectJob& job, JobTask& task);
   Duration BeatInterval(Instant now, const SidecarView& view) const;
   void GiveUpOn(Instant now, SidecarView& view);
   Duration GiveUpAfter() const {
--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -173,17 +173,7 @@
             .Add("sidecar", view.name.value())
             .Add("runs", static_cast<int64_t>(view.runs.size())));
   }
-  view.limbo.merge(view.runs);
-  for (const OpenOffer& open : view.offers | std::views::values) {
-    for (const OfferedTask& task : open.offer.tasks) {
-      view.limbo.insert(task.run);
-    }
-  }
-  for (const auto& [run, due] : view.stops) {
-    view.limbo.insert(run);
-  }
-  view.runs.clear();
-  view.offers.clear();
+  view.limbo = view.TakeOpenRuns();
   view.incarnation = incarnation;
   view.clock = 0;
   view.open = false;
@@ -206,11 +196,8 @@
     const Refusal refusal =
         n < reply.refusals.size() ? reply.refusals[n] : Refusal::kClosed;
     if (refusal != Refusal::kNone) {
-      if (const auto stop = view.stops.find(run); stop != view.stops.end()) {
-        stopping_.erase(stopping_.find(run.task));
-        view.stops.erase(stop);
-      }
-      TakeRefusal(now, run, refusal);
+      ForgetStop(view, run);
+      TakeRefusal(run, refusal);
       continue;
     }
     view.runs.insert(run);
@@ -224,9 +211,15 @@
   }
 }
 
-void DirectEntry::Impl::TakeRefusal(Instant now,
-                                    const TaskRun& run,
-                                    Refusal refusal) {
+bool DirectEntry::Impl::ForgetStop(SidecarView& view, const TaskRun& run) {
+  if (view.stops.erase(run) == 0) {
+    return false;
+  }
+  stopping_.erase(stopping_.find(run.task));
+  return true;
+}
+
+void DirectEntry::Impl::TakeRefusal(const TaskRun& run, Refusal refusal) {
   const auto ref = jobs_.FindRun(run);
   if (!ref) {
     return;
@@ -237,10 +230,10 @@
     // Nothing against the place: the answer brought fresh knowledge of it.
     task.place = InstanceName();
   }
-  ReadyAgain(now, job, task);
+  ReadyAgain(job, task);
 }
 
-void DirectEntry::Impl::ReadyAgain(Instant, DirectJob& job, JobTask& task) {
+void DirectEntry::Impl::ReadyAgain(DirectJob& job, JobTask& task) {
   jobs_.Unbind({task.name, task.run});
   task.phase = TaskPhase::kReady;
   Wait(job);
@@ -251,11 +244,7 @@
                                 SidecarView& view,
                                 const RunEnd& end) {
   view.runs.erase(end.run);
-  if (const auto stop = view.stops.find(end.run); stop != view.stops.end()) {
-    stopping_.erase(stopping_.find(end.run.task));
-    view.stops.erase(stop);
-    place_due_ = true;
-  }
+  place_due_ |= ForgetStop(view, end.run);
   // The end may overtake the reply to its offer.
   for (OpenOffer& open : view.offers | std::views::values) {
     std::erase_if(open.offer.tasks,
@@ -302,7 +291,7 @@
     Answer(now, job, JobOutcome::kFailed, "attempts_used");
     return;
   }
-  ReadyAgain(now, job, task);
+  ReadyAgain(job, task);
 }
 
 void DirectEntry::Impl::GiveUpOn(Instant now, SidecarView& view) {
@@ -311,18 +300,7 @@
                          .Add("silent_us", (now - view.heard).count()));
   // What ran there was stopped or has lapsed: the sidecar has no newer proof
   // of life from here than its own reading that arrived at `heard`.
-  std::set<TaskRun> all = std::exchange(view.limbo, {});
-  all.merge(view.runs);
-  for (const OpenOffer& open : view.offers | std::views::values) {
-    for (const OfferedTask& task : open.offer.tasks) {
-      all.insert(task.run);
-    }
-  }
-  view.offers.clear();
-  for (const auto& [run, due] : view.stops) {
-    all.insert(run);
-  }
-  for (const TaskRun& run : all) {
+  for (const TaskRun& run : view.TakeOpenRuns()) {
     TakeEnd(now, view, {0, run, EndKind::kLost, 0});
   }
 }
--- a/filbertwick/core/direct/direct_sidecar_impl.h
+++ b/filbertwick/core/direct/direct_sidecar_impl.h
@@ -136,7 +136,7 @@
   void SendStop(Instant now, HeldRun& run);
   void List(Instant now, Duration wait);
   void KeepListing(Instant now);
-  void TakeListedRun(Instant now, Instant asked, const ListedRun& listed);
+  void TakeListedRun(Instant now, const ListedRun& listed);
   void StopForeign(Instant now, const TaskRun& run);
   void DropVanished(Instant now, Instant asked, const std::set<TaskRun>& shown);
   void WatchProgress(Instant now, HeldRun& run, int64_t percent);
--- a/filbertwick/core/direct/direct_sidecar_upstream.cc
+++ b/filbertwick/core/direct/direct_sidecar_upstream.cc
@@ -43,12 +43,11 @@
 
 void DirectSidecar::Impl::BeginLife(Instant now,
                                     const UpstreamAnnouncement& announcement) {
-  if (upstream_ && upstream_->id == announcement.id) {
-    // Orders to the earlier life are taken by this one: until a higher token
-    // is seen there, what they start may be any of the lost runs.
-    std::ranges::move(ledger_.Clear(), std::back_inserter(unsettled_));
-  } else {
-    LoseAll(now);
+  std::ranges::move(ledger_.Clear(), std::back_inserter(unsettled_));
+  // Under the same id, orders to the earlier life are taken by this one: until
+  // a higher token is seen there, what they start may be any of the lost runs.
+  if (!upstream_ || upstream_->id != announcement.id) {
+    TellLost(now);
   }
   ++token_;
   upstream_.emplace();
@@ -58,7 +57,6 @@
   upstream_->draining = announcement.draining;
   upstream_->profile = announcement.profile;
   ledger_.SetCapacity(announcement.profile.capacity);
-  listings_.clear();
   orders_.clear();
   ReadClock(now, announcement.clock);
   effects_.push_back(
@@ -288,9 +286,7 @@
   }
   ReadClock(now, clock);
   for (const ListedEnd& end : listing.ended) {
-    if (end.number > upstream_->ends_seen) {
-      upstream_->ends_seen = end.number;
-    }
+    upstream_->ends_seen = std::max(upstream_->ends_seen, end.number);
     if (const HeldRun* run = ledger_.FindRun(end.run)) {
       EndRun(now, run->id, end.kind);
     }
@@ -300,7 +296,7 @@
   for (const ListedRun& listed : listing.running) {
     shown.insert(listed.run);
     if (ledger_.FindRun(listed.run) != nullptr) {
-      TakeListedRun(now, asked, listed);
+      TakeListedRun(now, listed);
     } else {
       foreign = true;
       StopForeign(now, listed.run);
@@ -335,10 +331,7 @@
   listing_due_ = now + kSyncPause;
 }
 
-void DirectSidecar::Impl::TakeListedRun(Instant now,
-                                        [[maybe_unused]] Instant asked,
-                                        const ListedRun& listed) {
-  assert(asked <= now);
+void DirectSidecar::Impl::TakeListedRun(Instant now, const ListedRun& listed) {
   HeldRun& run = *ledger_.FindRun(listed.run);
   run.seen_running = true;
   if (run.phase == RunPhase::kStarting) {
@@ -439,9 +432,8 @@
   std::vector<TaskRun> overdue;
   for (const HeldRun& run : ledger_.runs() | std::views::values) {
     const bool waits =
-        run.phase == RunPhase::kStopping
-            ? true
-            : run.phase == RunPhase::kStarting && run.open_order != 0;
+        run.phase == RunPhase::kStopping ||
+        (run.phase == RunPhase::kStarting && run.open_order != 0);
     if (waits && now >= run.order_due) {
       overdue.push_back(run.id);
     }
--- a/filbertwick/core/direct/sidecar_view.cc
+++ b/filbertwick/core/direct/sidecar_view.cc
@@ -1,6 +1,9 @@
 #include "filbertwick/core/direct/sidecar_view.h"
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
+#include <utility>
 
 namespace filbertwick::core::direct {
 namespace {
@@ -20,6 +23,17 @@
 
 }  // namespace
 
+std::set<TaskRun> SidecarView::TakeOpenRuns() {
+  std::set<TaskRun> all = std::exchange(limbo, {});
+  all.merge(std::exchange(runs, {}));
+  for (const OpenOffer& open : std::exchange(offers, {}) | std::views::values) {
+    std::ranges::transform(open.offer.tasks, std::inserter(all, all.end()),
+                           &OfferedTask::run);
+  }
+  std::ranges::copy(stops | std::views::keys, std::inserter(all, all.end()));
+  return all;
+}
+
 void LearnFromEnd(Instant now,
                   const RunEnd& end,
                   Duration estimate,
--- a/filbertwick/core/direct/sidecar_view.h
+++ b/filbertwick/core/direct/sidecar_view.h
@@ -64,6 +64,10 @@
   /// It failed and has not shown since that it is sound.
   bool IsOnTrial() const { return suspect_until != Instant(); }
 
+  /// Takes out every run that is offered, taken, in limbo or to be stopped; the
+  /// stops stay.
+  std::set<TaskRun> TakeOpenRuns();
+
   /// Something of this entry is open there.
   bool IsBusy() const {
     return !offers.empty() || !runs.empty() || !stops.empty() || !limbo.empty();
--- a/filbertwick/core/policy/waiting_line.cc
+++ b/filbertwick/core/policy/waiting_line.cc
@@ -46,16 +46,17 @@
   return jobs;
 }
 
-std::vector<uint64_t> WaitingLine::TakeLastBehind(const WaitingJob& newcomer) {
+std::optional<uint64_t> WaitingLine::TakeLastBehind(
+    const WaitingJob& newcomer) {
   if (order_.empty() || *order_.rbegin() < RankOf(newcomer)) {
-    return {};
+    return std::nullopt;
   }
   const uint64_t last = std::get<3>(*order_.rbegin());
   if (jobs_.at(last).begun) {
-    return {};
+    return std::nullopt;
   }
   Remove(last);
-  return {last};
+  return last;
 }
 
 Instant WaitingLine::NextOverdue() const {
--- a/filbertwick/core/policy/waiting_line.h
+++ b/filbertwick/core/policy/waiting_line.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <tuple>
 #include <vector>
@@ -40,7 +41,7 @@
   std::vector<uint64_t> TakeOverdue(Instant now);
   /// Takes out the job that would be placed last if `newcomer` would come
   /// before it; nothing when the newcomer itself is last. For a full line.
-  std::vector<uint64_t> TakeLastBehind(const WaitingJob& newcomer);
+  std::optional<uint64_t> TakeLastBehind(const WaitingJob& newcomer);
   /// The earliest start_by of a job that is not begun; the end of time when
   /// there is none.
   Instant NextOverdue() const;
--- a/unit_tests/direct_policy_test.cc
+++ b/unit_tests/direct_policy_test.cc
@@ -62,9 +62,8 @@
   WaitingLine line;
   line.Add({1, 0, false, At(10)});
   line.Add({2, 2, false, At(10)});
-  cr_assert(line.TakeLastBehind({3, 2, false, At(20)}).empty());
-  cr_assert(line.TakeLastBehind({3, 1, false, At(20)}) ==
-            std::vector<uint64_t>{2});
+  cr_assert(line.TakeLastBehind({3, 2, false, At(20)}) == std::nullopt);
+  cr_assert(line.TakeLastBehind({3, 1, false, At(20)}) == 2);
   cr_assert_eq(line.size(), 1);
 }
 
