--- a/filbertwick/net/change_codec.cc
+++ b/filbertwick/net/change_codec.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "filbertwick/http/json_response.h"
 #include "filbertwick/json/document.h"
 #include "filbertwick/json/object_reader.h"
 #include "filbertwick/json/text_writer.h"
@@ -84,7 +85,7 @@
     writer.Member("why", effect.text);
   }
   writer.EndObject();
-  return JsonResponse(effect.accepted ? 200 : 409, writer.Take());
+  return http::JsonResponse(effect.accepted ? 200 : 409, writer.Take());
 }
 
 http::Response FormatAudit(const std::vector<core::AuditEffect>& lines) {
@@ -102,7 +103,7 @@
         .EndObject();
   }
   writer.EndArray().EndObject();
-  return JsonResponse(200, writer.Take());
+  return http::JsonResponse(200, writer.Take());
 }
 
 }  // namespace filbertwick::net
--- a/filbertwick/net/instance_net.h
+++ b/filbertwick/net/instance_net.h
@@ -41,7 +41,7 @@
 
 /// Datagrams between instances, and how they find one another without a list
 /// kept by anyone: sidecars call at the seeds until an entry speaks to them,
-/// entries exchange what they know once a second.
+/// entries exchange what they know twice a second.
 class InstanceNet {
  public:
   /// Binds the port; Unavailable when that fails.
--- a/filbertwick/net/job_codec.cc
+++ b/filbertwick/net/job_codec.cc
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "filbertwick/http/json_response.h"
 #include "filbertwick/json/document.h"
 #include "filbertwick/json/object_reader.h"
 #include "filbertwick/json/text_writer.h"
@@ -171,9 +172,10 @@
     writer.EndArray();
   }
   writer.EndObject();
-  http::Response response = JsonResponse(StatusOf(answer), writer.Take());
+  http::Response response = http::JsonResponse(StatusOf(answer), writer.Take());
   if (refused) {
-    AddRetryAfter(std::max(answer.retry_after, kDefaultRetryAfter), response);
+    http::AddRetryAfter(std::max(answer.retry_after, kDefaultRetryAfter),
+                        response);
   }
   return response;
 }
@@ -190,7 +192,7 @@
     writer.Value(line);
   }
   writer.EndArray().EndObject();
-  return JsonResponse(200, writer.Take());
+  return http::JsonResponse(200, writer.Take());
 }
 
 http::Response FormatRefusal(int status,
@@ -204,8 +206,8 @@
       .Member("not_run", not_run)
       .Member("why", why)
       .EndObject();
-  http::Response response = JsonResponse(status, writer.Take());
-  AddRetryAfter(kDefaultRetryAfter, response);
+  http::Response response = http::JsonResponse(status, writer.Take());
+  http::AddRetryAfter(kDefaultRetryAfter, response);
   return response;
 }
 
--- a/filbertwick/net/status_pages.cc
+++ b/filbertwick/net/status_pages.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <utility>
 
+#include "filbertwick/http/json_response.h"
 #include "filbertwick/json/text_writer.h"
 #include "filbertwick/net/json_response.h"
 
@@ -109,8 +110,9 @@
     const bool ready = ready_();
     respond(TextResponse(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
   } else if (!ask_view_([respond, bundle](const InstanceView& view) {
-               respond(JsonResponse(200, bundle ? FormatBundle(view)
-                                                : FormatStatus(view.status)));
+               respond(
+                   http::JsonResponse(200, bundle ? FormatBundle(view)
+                                                  : FormatStatus(view.status)));
              })) {
     respond(ErrorResponse(503, "overloaded"));
   }
--- a/filbertwick/net/upstream_api.cc
+++ b/filbertwick/net/upstream_api.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "filbertwick/http/client.h"
+#include "filbertwick/http/json_response.h"
 #include "filbertwick/net/announcement.h"
 #include "filbertwick/net/json_response.h"
 #include "filbertwick/net/percent.h"
@@ -139,7 +140,7 @@
     }
     Adopt(*announcement);
     WaitForSilence();
-    respond(JsonResponse(200, R"({"accepted":true})"));
+    respond(http::JsonResponse(200, R"({"accepted":true})"));
   }
 
   void Adopt(const Announcement& announcement) {
--- a/filbertwick/platform/control_follower.cc
+++ b/filbertwick/platform/control_follower.cc
@@ -140,11 +140,11 @@
 
   void Fetch(const std::string& host) {
     fetching_ = true;
-    http::ClientSettings settings;
-    settings.host = host;
-    settings.port = peer_port_;
     auto& client = clients_[host];
     if (!client) {
+      http::ClientSettings settings;
+      settings.host = host;
+      settings.port = peer_port_;
       client = http::Client::Create(context_, settings);
     }
     http::Request request;
--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <cctype>
 #include <chrono>
 #include <map>
@@ -9,19 +8,22 @@
 
 #include "filbertwick/core/direct/direct_entry.h"
 #include "filbertwick/core/direct/names.h"
+#include "filbertwick/http/json_response.h"
 #include "filbertwick/http/server.h"
 #include "filbertwick/http/target.h"
+#include "filbertwick/platform/core_runner.h"
+#include "filbertwick/platform/drain_watch.h"
 #include "filbertwick/platform/job_codec.h"
 #include "filbertwick/platform/node.h"
 #include "filbertwick/platform/peer_service.h"
 #include "filbertwick/platform/start_node.h"
-#include "filbertwick/platform/wakeup_timer.h"
 
 namespace filbertwick::platform {
 namespace {
 
 using core::direct::AnswerJobEffect;
 using core::direct::DirectEntry;
+using core::direct::EntryEffect;
 using core::direct::EntryEffects;
 using core::direct::JobOutcome;
 using core::direct::Route;
@@ -30,10 +32,6 @@
 /// Requests go on being taken for this long after a stop was asked for: the
 /// balancer notices after two of its looks, a second apart.
 constexpr Duration kLameDuck = std::chrono::milliseconds(2500);
-/// Kept free of the grace for the exit itself.
-constexpr Duration kExitReserve = std::chrono::milliseconds(700);
-/// Pause between two looks at what is still open.
-constexpr Duration kDrainInterval = std::chrono::milliseconds(50);
 /// Connections from callers; below the descriptors of the smallest machine.
 constexpr size_t kMaxConnections = 3000;
 /// Bounds of what the configuration may ask for: a header fits the memory of
@@ -47,34 +45,27 @@
 constexpr int kUselessAfter = 3;
 constexpr int kFirstErrorStatus = 400;
 /// A caller without a configuration to serve it may come back soon.
-constexpr int kEarlyRetrySeconds = 1;
-
-http::Response JsonResponse(int status, std::string body) {
-  http::Response response;
-  response.status = status;
-  response.headers = {{"Content-Type", "application/json"}};
-  response.body = std::move(body);
-  return response;
-}
+constexpr std::chrono::seconds kEarlyRetry{1};
 
 http::Response ErrorResponse(int status, std::string_view cause) {
-  return JsonResponse(status, "{\"error\":\"" + std::string(cause) + "\"}");
+  return http::JsonResponse(status,
+                            "{\"error\":\"" + std::string(cause) + "\"}");
 }
 
-http::Response RetryResponse(std::string_view cause, int64_t seconds) {
+http::Response RetryResponse(std::string_view cause, Duration wait) {
   http::Response response = ErrorResponse(503, cause);
-  response.headers.push_back({"Retry-After", std::to_string(seconds)});
+  http::AddRetryAfter(wait, response);
   return response;
 }
 
 http::Response ResponseTo(const AnswerJobEffect& answer) {
   switch (answer.outcome) {
     case JobOutcome::kCompleted:
-      return JsonResponse(200, "{\"state\":\"completed\"}");
+      return http::JsonResponse(200, "{\"state\":\"completed\"}");
     case JobOutcome::kFailed:
-      return JsonResponse(200, "{\"state\":\"failed\"}");
+      return http::JsonResponse(200, "{\"state\":\"failed\"}");
     case JobOutcome::kRefused:
-      return RetryResponse(answer.cause, answer.retry_after.count());
+      return RetryResponse(answer.cause, answer.retry_after);
     case JobOutcome::kTimedOut:
       break;
   }
@@ -114,26 +105,28 @@
             NodeContext context)
       : settings_(settings),
         context_(std::move(context)),
-        timer_(context_.io, [this] { OnWakeup(); }),
-        drain_timer_(context_.io) {
-    core::direct::DirectEntrySettings core_settings;
-    core_settings.times = core::direct::SessionTimes::Fit(
-        settings.resend_after, settings.longest_lease);
-    core_ = DirectEntry::Create({settings.name, incarnation}, core_settings,
-                                FormatTaskName);
-  }
+        runner_(context_.io,
+                MakeCore(settings, incarnation),
+                [this](EntryEffect& effect) {
+                  std::visit([this](auto& it) { this->Do(it); }, effect);
+                }),
+        drain_(
+            context_.io,
+            settings.stop_grace,
+            [this](Duration age) { return IsDrained(age); },
+            context_.stopped) {}
 
   absl::Status Start(uint64_t incarnation) {
     PeerServiceHooks hooks;
     hooks.sidecar_message = [this](const core::direct::SidecarMessage& it) {
-      Decide([&](Instant now, EntryEffects& out) {
-        core_->OnMessage(now, it, out);
+      runner_.Run([&](Instant now, EntryEffects& out) {
+        core().OnMessage(now, it, out);
       });
     };
     hooks.member_found = [this](const core::direct::Member& member) {
       if (!member.is_entry) {
-        core_->AddSidecars(MonotonicClock::now(), {{member.peer.name}});
-        timer_.Set(core_->NextWakeup());
+        core().AddSidecars(MonotonicClock::now(), {{member.peer.name}});
+        runner_.Rearm();
       }
     };
     hooks.control_changed = [this] { OnControl(); };
@@ -146,19 +139,25 @@
     return Listen();
   }
 
-  void Stop() override {
-    if (std::exchange(stopping_, true)) {
-      return;
-    }
-    stop_begun_ = MonotonicClock::now();
-    AwaitDrained();
-  }
+  void Stop() override { drain_.Begin(); }
 
   void Reload(const PlatformSettings& settings) override {
     peers_->Reload(settings);
   }
 
  private:
+  static std::unique_ptr<DirectEntry> MakeCore(const PlatformSettings& settings,
+                                               uint64_t incarnation) {
+    core::direct::DirectEntrySettings core_settings;
+    core_settings.times = core::direct::SessionTimes::Fit(
+        settings.resend_after, settings.longest_lease);
+    return DirectEntry::Create({settings.name, incarnation}, core_settings,
+                               FormatTaskName);
+  }
+
+  DirectEntry& core() { return runner_.core(); }
+  const DirectEntry& core() const { return runner_.core(); }
+
   absl::Status Listen() {
     http::ServerSettings http;
     http.host = settings_.callers.host;
@@ -192,23 +191,8 @@
   }
 
   bool IsReady() const {
-    return !stopping_ && peers_->control().has_configuration() &&
-           core_->Status(MonotonicClock::now()).open_sidecars > 0;
-  }
-
-  template <typename Step>
-  void Decide(Step step) {
-    EntryEffects effects;
-    step(MonotonicClock::now(), effects);
-    for (auto& effect : effects) {
-      std::visit([this](auto& it) { this->Do(it); }, effect);
-    }
-    timer_.Set(core_->NextWakeup());
-  }
-
-  void OnWakeup() {
-    Decide(
-        [this](Instant now, EntryEffects& out) { core_->OnWakeup(now, out); });
+    return !drain_.begun() && peers_->control().has_configuration() &&
+           core().Status(MonotonicClock::now()).open_sidecars > 0;
   }
 
   void Do(SendToSidecarEffect& effect) {
@@ -235,7 +219,7 @@
 
   /// Open connections move to other entries while this one stops.
   http::Response Closing(http::Response response) const {
-    if (stopping_) {
+    if (drain_.begun()) {
       response.headers.push_back({"Connection", "close"});
     }
     return response;
@@ -243,8 +227,8 @@
 
   void OnGone(uint64_t request) {
     responders_.erase(request);
-    Decide([&](Instant now, EntryEffects& out) {
-      core_->OnCallerGone(now, request, out);
+    runner_.Run([&](Instant now, EntryEffects& out) {
+      core().OnCallerGone(now, request, out);
     });
   }
 
@@ -275,7 +259,7 @@
                                        const http::Responder& respond) {
     const core::direct::ControlBook& control = peers_->control();
     if (!control.has_configuration()) {
-      return RetryResponse("no_configuration", kEarlyRetrySeconds);
+      return RetryResponse("no_configuration", kEarlyRetry);
     }
     const Route* route =
         control.configuration().FindRoute(HostOf(request), PathOf(request));
@@ -285,9 +269,9 @@
     const std::string_view id =
         PathOf(request).substr(route->path_prefix.size());
     if (request.method == "GET" && id.empty()) {
-      return JsonResponse(
+      return http::JsonResponse(
           200, "{\"pending\":" +
-                   std::to_string(core_->CountWaiting(route->service)) + "}");
+                   std::to_string(core().CountWaiting(route->service)) + "}");
     }
     if (!IsJobId(id)) {
       return ErrorResponse(404, "no_such_job");
@@ -316,15 +300,15 @@
     if (!job.ok()) {
       context_.log(LogLine("job_not_taken").Add("job", id).Cause(job.status()));
       return absl::IsUnimplemented(job.status())
-                 ? RetryResponse("unsupported", kEarlyRetrySeconds)
+                 ? RetryResponse("unsupported", kEarlyRetry)
                  : ErrorResponse(400, "no_job");
     }
     job->id = id;
     job->request = request.number;
     job->time_limit = TimeLimit(request, route, job->target);
     responders_[request.number] = respond;
-    Decide([&](Instant now, EntryEffects& out) {
-      core_->OnJob(now, WallTime::Now(), *std::move(job), out);
+    runner_.Run([&](Instant now, EntryEffects& out) {
+      core().OnJob(now, WallTime::Now(), *std::move(job), out);
     });
     return std::nullopt;
   }
@@ -343,48 +327,36 @@
 
   http::Response Cancel(std::string_view id) {
     bool found = false;
-    Decide([&](Instant now, EntryEffects& out) {
-      found = core_->Cancel(now, id, out);
+    runner_.Run([&](Instant now, EntryEffects& out) {
+      found = core().Cancel(now, id, out);
     });
-    return found ? JsonResponse(200, "{}") : ErrorResponse(410, "no_such_job");
+    return found ? http::JsonResponse(200, "{}")
+                 : ErrorResponse(410, "no_such_job");
   }
 
   void OnControl() {
     const core::direct::ControlBook& control = peers_->control();
-    core_->SetControlPosition(control.position());
-    core_->SetZonesOut(control.snapshot().zones_out);
-    if (callers_ && control.has_configuration()) {
+    core().SetControlPosition(control.position());
+    core().SetZonesOut(control.snapshot().zones_out);
+    if (control.has_configuration()) {
       callers_->SetLimits(LimitsOf(control.configuration().limits));
     }
-    timer_.Set(core_->NextWakeup());
+    runner_.Rearm();
   }
 
-  void AwaitDrained() {
-    const Duration age = MonotonicClock::now() - stop_begun_;
-    if (age >= kLameDuck) {
-      callers_->StopAccepting();
-    }
-    const bool drained = responders_.empty() && age >= kLameDuck;
-    if (drained || age >= settings_.stop_grace - kExitReserve) {
-      context_.stopped();
-      return;
+  bool IsDrained(Duration age) {
+    if (age < kLameDuck) {
+      return false;
     }
-    drain_timer_.expires_after(kDrainInterval);
-    drain_timer_.async_wait([this](boost::system::error_code ec) {
-      if (!ec) {
-        AwaitDrained();
-      }
-    });
+    callers_->StopAccepting();
+    return responders_.empty();
   }
 
   const PlatformSettings settings_;
   const NodeContext context_;
-  WakeupTimer timer_;
-  boost::asio::steady_timer drain_timer_;
-  std::unique_ptr<DirectEntry> core_;
+  CoreRunner<DirectEntry, EntryEffects> runner_;
+  DrainWatch drain_;
   std::map<uint64_t, http::Responder> responders_;
-  bool stopping_ = false;
-  Instant stop_begun_;
   std::unique_ptr<PeerService> peers_;
   std::unique_ptr<http::Server> callers_;
   std::unique_ptr<http::Server> readiness_;
--- a/filbertwick/platform/job_codec.cc
+++ b/filbertwick/platform/job_codec.cc
@@ -151,9 +151,8 @@
 
 absl::StatusOr<AttendedJob> ParseJob(std::string_view body,
                                      const Route& route) {
-  const auto value = ParseJson(body);
-  const json::object* object = value ? AsObject(*value) : nullptr;
-  if (object == nullptr) {
+  const auto object = ParseObject(body);
+  if (!object) {
     return Wrong("the body must be a JSON object");
   }
   const auto spec = FindString(*object, "spec");
@@ -174,7 +173,7 @@
   job.spec = *spec;
   int64_t tasks = 0;
   for (const json::value& item : *steps) {
-    const json::object* step = AsObject(item);
+    const json::object* step = item.if_object();
     auto parsed = step == nullptr ? Wrong("a step must be an object")
                                   : ParseStep(*step, job.steps.size());
     if (!parsed.ok()) {
@@ -197,19 +196,16 @@
 }
 
 absl::StatusOr<Configuration> ParseConfiguration(std::string_view text) {
-  const auto value = ParseJson(text);
-  const json::object* object = value ? AsObject(*value) : nullptr;
-  const json::array* routes =
-      object == nullptr ? nullptr : FindArray(*object, "routes");
-  const auto version =
-      object == nullptr ? std::nullopt : FindInteger(*object, "version");
+  const auto object = ParseObject(text);
+  const json::array* routes = object ? FindArray(*object, "routes") : nullptr;
+  const auto version = object ? FindInteger(*object, "version") : std::nullopt;
   if (routes == nullptr || !version || *version <= 0) {
     return Wrong("a configuration must have a version and routes");
   }
   Configuration configuration;
   configuration.version = static_cast<uint64_t>(*version);
   for (const json::value& item : *routes) {
-    const json::object* route = AsObject(item);
+    const json::object* route = item.if_object();
     if (auto parsed = route == nullptr ? std::nullopt : ParseRoute(*route)) {
       configuration.routes.push_back(*std::move(parsed));
     }
--- a/filbertwick/platform/json_fields.cc
+++ b/filbertwick/platform/json_fields.cc
@@ -14,15 +14,12 @@
 
 }  // namespace
 
-std::optional<json::value> ParseJson(std::string_view text) {
+std::optional<json::object> ParseObject(std::string_view text) {
   boost::system::error_code ec;
   json::value value =
       json::parse(json::string_view(text.data(), text.size()), ec);
-  return ec ? std::nullopt : std::optional(std::move(value));
-}
-
-const json::object* AsObject(const json::value& value) {
-  return value.if_object();
+  json::object* object = ec ? nullptr : value.if_object();
+  return object == nullptr ? std::nullopt : std::optional(std::move(*object));
 }
 
 const json::object* FindObject(const json::object& object,
--- a/filbertwick/platform/json_fields.h
+++ b/filbertwick/platform/json_fields.h
@@ -14,11 +14,8 @@
 // Reads single fields of JSON that other writers made. A field that is missing
 // or of another type gives nothing; the caller decides what that means.
 
-/// Parses a text; nothing when it is no JSON.
-std::optional<boost::json::value> ParseJson(std::string_view text);
-
-/// The object itself, or null for any other value.
-const boost::json::object* AsObject(const boost::json::value& value);
+/// Parses a JSON object; nothing for any other text.
+std::optional<boost::json::object> ParseObject(std::string_view text);
 
 const boost::json::object* FindObject(const boost::json::object& object,
                                       std::string_view name);
--- a/filbertwick/platform/peer_service.cc
+++ b/filbertwick/platform/peer_service.cc
@@ -115,16 +115,8 @@
 
   absl::Status OpenNet(const PlatformSettings& settings) {
     net::InstanceNetHooks hooks;
-    hooks.entry_message = [this](core::direct::EntryMessage message) {
-      if (hooks_.entry_message) {
-        hooks_.entry_message(std::move(message));
-      }
-    };
-    hooks.sidecar_message = [this](core::direct::SidecarMessage message) {
-      if (hooks_.sidecar_message) {
-        hooks_.sidecar_message(std::move(message));
-      }
-    };
+    hooks.entry_message = hooks_.entry_message;
+    hooks.sidecar_message = hooks_.sidecar_message;
     hooks.member_found = hooks_.member_found;
     hooks.position_heard = [this](const std::string& host,
                                   const ControlPosition& position) {
--- a/filbertwick/platform/peer_service.h
+++ b/filbertwick/platform/peer_service.h
@@ -13,12 +13,16 @@
 
 namespace filbertwick::platform {
 
-/// What differs between entries and sidecars.
+/// What differs between entries and sidecars; a hook that is not set does
+/// nothing.
 struct PeerServiceHooks {
-  std::function<void(core::direct::EntryMessage)> entry_message;
-  std::function<void(core::direct::SidecarMessage)> sidecar_message;
-  std::function<void(const core::direct::Member&)> member_found;
-  std::function<void()> control_changed;
+  std::function<void(core::direct::EntryMessage)> entry_message =
+      [](const core::direct::EntryMessage&) {};
+  std::function<void(core::direct::SidecarMessage)> sidecar_message =
+      [](const core::direct::SidecarMessage&) {};
+  std::function<void(const core::direct::Member&)> member_found =
+      [](const core::direct::Member&) {};
+  std::function<void()> control_changed = [] {};
 };
 
 /// What every instance has: messages and membership between instances, the
--- a/filbertwick/platform/platform_settings.cc
+++ b/filbertwick/platform/platform_settings.cc
@@ -113,9 +113,8 @@
 }
 
 absl::StatusOr<PlatformSettings> ParsePlatformSettings(std::string_view text) {
-  const auto value = ParseJson(text);
-  const json::object* object = value ? AsObject(*value) : nullptr;
-  if (object == nullptr) {
+  const auto object = ParseObject(text);
+  if (!object) {
     return absl::InvalidArgumentError("/: must be a JSON object");
   }
   Reader reader(*object);
--- a/filbertwick/platform/process.cc
+++ b/filbertwick/platform/process.cc
@@ -122,10 +122,6 @@
   std::unique_ptr<Node> node_;
 };
 
-}  // namespace
-
-namespace {
-
 /// Settings as read, with their text.
 struct LoadedSettings {
   std::string text;
--- a/filbertwick/platform/sidecar_node.cc
+++ b/filbertwick/platform/sidecar_node.cc
@@ -1,17 +1,19 @@
-#include <boost/asio/steady_timer.hpp>
+#include <memory>
 #include <string>
 #include <utility>
 #include <variant>
 
 #include "filbertwick/core/direct/direct_sidecar.h"
 #include "filbertwick/http/client.h"
+#include "filbertwick/http/json_response.h"
 #include "filbertwick/http/server.h"
 #include "filbertwick/http/target.h"
+#include "filbertwick/platform/core_runner.h"
+#include "filbertwick/platform/drain_watch.h"
 #include "filbertwick/platform/node.h"
 #include "filbertwick/platform/peer_service.h"
 #include "filbertwick/platform/start_node.h"
 #include "filbertwick/platform/upstream_codec.h"
-#include "filbertwick/platform/wakeup_timer.h"
 
 namespace filbertwick::platform {
 namespace {
@@ -20,6 +22,7 @@
 using core::direct::ListOrder;
 using core::direct::OrderAnswer;
 using core::direct::SendToEntryEffect;
+using core::direct::SidecarEffect;
 using core::direct::SidecarEffects;
 using core::direct::StartOrder;
 using core::direct::StopOrder;
@@ -32,9 +35,6 @@
 /// Most connections to the upstream. A call takes about a millisecond, so a
 /// dozen carry the starts of a wide job at once; each new one has its price.
 constexpr size_t kMaxConnections = 12;
-/// Kept free of the grace for the exit itself.
-constexpr Duration kExitReserve = std::chrono::milliseconds(700);
-constexpr Duration kDrainInterval = std::chrono::milliseconds(50);
 constexpr size_t kMaxAnnouncementBytes = 4 * 1024 * 1024;
 /// Path of announcements; the upstream's id follows.
 constexpr std::string_view kAnnouncements = "/api/instances/";
@@ -46,15 +46,16 @@
               NodeContext context)
       : settings_(settings),
         context_(std::move(context)),
-        timer_(context_.io, [this] { OnWakeup(); }),
-        drain_timer_(context_.io) {
-    core::direct::DirectSidecarSettings core_settings;
-    core_settings.times = core::direct::SessionTimes::Fit(
-        settings.resend_after, settings.longest_lease);
-    // The incarnation is the wall clock in milliseconds: above the tokens of
-    // earlier lives unless that clock jumped.
-    core_ = DirectSidecar::Create({settings.name, incarnation}, incarnation,
-                                  core_settings);
+        runner_(context_.io,
+                MakeCore(settings, incarnation),
+                [this](SidecarEffect& effect) {
+                  std::visit([this](auto& it) { this->Do(it); }, effect);
+                }),
+        drain_(
+            context_.io,
+            settings.stop_grace,
+            [this](Duration) { return core().Status().runs == 0; },
+            context_.stopped) {
     http::ClientSettings http;
     http.host = settings.upstream.host;
     http.port = settings.upstream.port;
@@ -66,11 +67,10 @@
   absl::Status Start(uint64_t incarnation) {
     PeerServiceHooks hooks;
     hooks.entry_message = [this](const core::direct::EntryMessage& it) {
-      Decide([&](Instant now, SidecarEffects& out) {
-        core_->OnMessage(now, it, out);
+      runner_.Run([&](Instant now, SidecarEffects& out) {
+        core().OnMessage(now, it, out);
       });
     };
-    hooks.member_found = [](const core::direct::Member&) {};
     hooks.control_changed = [this] { OnControl(); };
     auto peers =
         PeerService::Create(settings_, incarnation, context_, std::move(hooks));
@@ -95,12 +95,12 @@
   }
 
   void Stop() override {
-    if (std::exchange(stopping_, true)) {
+    if (drain_.begun()) {
       return;
     }
-    stop_begun_ = MonotonicClock::now();
-    Decide([this](Instant now, SidecarEffects& out) { core_->Stop(now, out); });
-    AwaitDrained();
+    runner_.Run(
+        [this](Instant now, SidecarEffects& out) { core().Stop(now, out); });
+    drain_.Begin();
   }
 
   void Reload(const PlatformSettings& settings) override {
@@ -108,21 +108,19 @@
   }
 
  private:
-  template <typename Step>
-  void Decide(Step step) {
-    SidecarEffects effects;
-    step(MonotonicClock::now(), effects);
-    for (auto& effect : effects) {
-      std::visit([this](auto& it) { this->Do(it); }, effect);
-    }
-    timer_.Set(core_->NextWakeup());
+  static std::unique_ptr<DirectSidecar> MakeCore(
+      const PlatformSettings& settings,
+      uint64_t incarnation) {
+    core::direct::DirectSidecarSettings core_settings;
+    core_settings.times = core::direct::SessionTimes::Fit(
+        settings.resend_after, settings.longest_lease);
+    // The incarnation is the wall clock in milliseconds: above the tokens of
+    // earlier lives unless that clock jumped.
+    return DirectSidecar::Create({settings.name, incarnation}, incarnation,
+                                 core_settings);
   }
 
-  void OnWakeup() {
-    Decide([this](Instant now, SidecarEffects& out) {
-      core_->OnWakeup(now, out);
-    });
-  }
+  DirectSidecar& core() { return runner_.core(); }
 
   void Do(SendToEntryEffect& effect) {
     peers_->Send(effect.to, std::move(effect.message));
@@ -149,8 +147,8 @@
                       const ParsedAnswer parsed =
                           result.response.ok() ? ParseAnswer(*result.response)
                                                : ParsedAnswer();
-                      Decide([&](Instant now, SidecarEffects& out) {
-                        core_->OnOrderAnswered(now, number, parsed.answer,
+                      runner_.Run([&](Instant now, SidecarEffects& out) {
+                        core().OnOrderAnswered(now, number, parsed.answer,
                                                parsed.clock, out);
                       });
                     });
@@ -160,8 +158,8 @@
     if (result.response.ok() && result.response->status == 200) {
       const auto parsed = ParseListing(result.response->body);
       if (parsed.ok()) {
-        Decide([&](Instant now, SidecarEffects& out) {
-          core_->OnListed(now, number, parsed->listing, parsed->clock, out);
+        runner_.Run([&](Instant now, SidecarEffects& out) {
+          core().OnListed(now, number, parsed->listing, parsed->clock, out);
         });
         return;
       }
@@ -170,36 +168,31 @@
     const OrderAnswer answer = result.response.ok()
                                    ? ParseAnswer(*result.response).answer
                                    : OrderAnswer::kUnknown;
-    Decide([&](Instant now, SidecarEffects& out) {
-      core_->OnListingFailed(now, number, answer, out);
+    runner_.Run([&](Instant now, SidecarEffects& out) {
+      core().OnListingFailed(now, number, answer, out);
     });
   }
 
   http::Response Take(const http::Request& request) {
-    http::Response response;
-    response.headers = {{"Content-Type", "application/json"}};
-    response.body = "{}";
     if (!request.target.starts_with(kAnnouncements)) {
-      response.status = 404;
-      return response;
+      return http::JsonResponse(404, "{}");
     }
     const std::string id = request.target.substr(kAnnouncements.size());
     if (request.method == "DELETE") {
-      Decide([&](Instant now, SidecarEffects& out) {
-        core_->OnLeft(now, id, out);
+      runner_.Run([&](Instant now, SidecarEffects& out) {
+        core().OnLeft(now, id, out);
       });
-      return response;
+      return http::JsonResponse(200, "{}");
     }
     const auto announcement = ParseAnnouncement(id, request.body);
     if (!announcement.ok()) {
       context_.log(LogLine("announcement_unreadable")
                        .Add("upstream", id)
                        .Cause(announcement.status()));
-      response.status = 400;
-      return response;
+      return http::JsonResponse(400, "{}");
     }
     Announce(*announcement);
-    return response;
+    return http::JsonResponse(200, "{}");
   }
 
   void Announce(const core::direct::UpstreamAnnouncement& announcement) {
@@ -207,9 +200,9 @@
       upstream_born_ = announcement.born_unix_millis;
       service_ = announcement.profile.service;
     }
-    Decide([&](Instant now, SidecarEffects& out) {
-      core_->OnAnnounced(now, announcement, out);
-      core_->SetAllowed(now, IsAllowed(), out);
+    runner_.Run([&](Instant now, SidecarEffects& out) {
+      core().OnAnnounced(now, announcement, out);
+      core().SetAllowed(now, IsAllowed(), out);
     });
   }
 
@@ -221,39 +214,18 @@
   }
 
   void OnControl() {
-    if (!peers_) {
-      return;
-    }
-    core_->SetControlPosition(peers_->control().position());
-    Decide([this](Instant now, SidecarEffects& out) {
-      core_->SetAllowed(now, IsAllowed(), out);
-    });
-  }
-
-  void AwaitDrained() {
-    const Duration age = MonotonicClock::now() - stop_begun_;
-    if (core_->Status().runs == 0 ||
-        age >= settings_.stop_grace - kExitReserve) {
-      context_.stopped();
-      return;
-    }
-    drain_timer_.expires_after(kDrainInterval);
-    drain_timer_.async_wait([this](boost::system::error_code ec) {
-      if (!ec) {
-        AwaitDrained();
-      }
+    core().SetControlPosition(peers_->control().position());
+    runner_.Run([this](Instant now, SidecarEffects& out) {
+      core().SetAllowed(now, IsAllowed(), out);
     });
   }
 
   const PlatformSettings settings_;
   const NodeContext context_;
-  WakeupTimer timer_;
-  boost::asio::steady_timer drain_timer_;
-  std::unique_ptr<DirectSidecar> core_;
+  CoreRunner<DirectSidecar, SidecarEffects> runner_;
+  DrainWatch drain_;
   int64_t upstream_born_ = 0;
   std::string service_;
-  bool stopping_ = false;
-  Instant stop_begun_;
   std::unique_ptr<PeerService> peers_;
   std::unique_ptr<http::Client> upstream_;
   std::unique_ptr<http::Server> announcements_;
--- a/filbertwick/platform/store_client.cc
+++ b/filbertwick/platform/store_client.cc
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 #include <sodium.h>
 
+#include <array>
+#include <boost/endian/conversion.hpp>
 #include <utility>
 
 #include "filbertwick/http/client.h"
@@ -19,20 +21,8 @@
 /// Idle connections are kept for the next long poll.
 constexpr Duration kIdleTimeout = std::chrono::seconds(20);
 
-uint64_t ReadBigEndian(std::string_view bytes) {
-  uint64_t number = 0;
-  for (const char c : bytes) {
-    number = number << 8 | static_cast<unsigned char>(c);
-  }
-  return number;
-}
-
-std::string BigEndian32(size_t number) {
-  std::string bytes(4, '\0');
-  for (size_t n = 0; n < 4; ++n) {
-    bytes[n] = static_cast<char>(number >> (24 - 8 * n));
-  }
-  return bytes;
+const unsigned char* Bytes(std::string_view text) {
+  return reinterpret_cast<const unsigned char*>(text.data());
 }
 
 std::optional<std::string> DecodeBase64(std::string_view text) {
@@ -59,12 +49,9 @@
 }
 
 absl::StatusOr<NewestPage> ParseNewest(std::string_view body) {
-  const auto value = ParseJson(body);
-  const json::object* object = value ? AsObject(*value) : nullptr;
-  const json::array* items =
-      object == nullptr ? nullptr : FindArray(*object, "items");
-  const auto end =
-      object == nullptr ? std::nullopt : FindInteger(*object, "end");
+  const auto object = ParseObject(body);
+  const json::array* items = object ? FindArray(*object, "items") : nullptr;
+  const auto end = object ? FindInteger(*object, "end") : std::nullopt;
   if (items == nullptr || !end) {
     return absl::InvalidArgumentError("no page of newest records");
   }
@@ -72,7 +59,7 @@
   page.end = static_cast<uint64_t>(*end);
   page.has_more = FindBool(*object, "has-more").value_or(false);
   for (const json::value& item : *items) {
-    const json::object* row = AsObject(item);
+    const json::object* row = item.if_object();
     if (row == nullptr) {
       continue;
     }
@@ -97,12 +84,12 @@
     return absl::InvalidArgumentError("a batch without its head");
   }
   StoreBatch batch;
-  batch.lost = ReadBigEndian(body.substr(0, 8)) < from;
+  batch.lost = boost::endian::load_big_u64(Bytes(body)) < from;
   batch.next = from;
   body.remove_prefix(kHead);
   while (body.size() >= kLength) {
     const uint64_t offset = batch.next++;
-    const uint64_t size = ReadBigEndian(body.substr(0, kLength));
+    const uint32_t size = boost::endian::load_big_u32(Bytes(body));
     body.remove_prefix(kLength);
     if (size == 0 || size > body.size()) {
       return absl::InvalidArgumentError("a record of a wrong size");
@@ -210,7 +197,10 @@
                          std::string_view key,
                          std::string_view value,
                          AppendHook done) {
-  std::string body = BigEndian32(1 + key.size() + value.size());
+  std::array<unsigned char, 4> size{};
+  boost::endian::store_big_u32(
+      size.data(), static_cast<uint32_t>(1 + key.size() + value.size()));
+  std::string body(size.begin(), size.end());
   body.push_back(static_cast<char>(key.size()));
   body += key;
   body += value;
--- a/filbertwick/platform/upstream_codec.cc
+++ b/filbertwick/platform/upstream_codec.cc
@@ -127,10 +127,9 @@
 
 ParsedAnswer ParseAnswer(const http::Response& response) {
   ParsedAnswer parsed;
-  const auto value = ParseJson(response.body);
-  const json::object* object = value ? AsObject(*value) : nullptr;
+  const auto object = ParseObject(response.body);
   std::string_view reason;
-  if (object != nullptr) {
+  if (object) {
     parsed.clock = FindInteger(*object, "clock-ms").value_or(0);
     reason = FindString(*object, "reason").value_or("");
   }
@@ -159,9 +158,8 @@
 }
 
 absl::StatusOr<ParsedListing> ParseListing(std::string_view body) {
-  const auto value = ParseJson(body);
-  const json::object* object = value ? AsObject(*value) : nullptr;
-  if (object == nullptr || FindArray(*object, "running") == nullptr) {
+  const auto object = ParseObject(body);
+  if (!object || FindArray(*object, "running") == nullptr) {
     return absl::InvalidArgumentError("no listing");
   }
   ParsedListing parsed;
@@ -174,9 +172,8 @@
 
 absl::StatusOr<UpstreamAnnouncement> ParseAnnouncement(std::string_view id,
                                                        std::string_view body) {
-  const auto value = ParseJson(body);
-  const json::object* object = value ? AsObject(*value) : nullptr;
-  if (object == nullptr || id.empty()) {
+  const auto object = ParseObject(body);
+  if (!object || id.empty()) {
     return absl::InvalidArgumentError("no announcement");
   }
   const auto service = FindString(*object, "service");
--- a/filbertwick/standin/platform_store.cc
+++ b/filbertwick/standin/platform_store.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/endian/conversion.hpp>
 #include <map>
 #include <utility>
 #include <vector>
@@ -30,12 +31,11 @@
   uint64_t end = 0;
 };
 
-std::string BigEndian(uint64_t number, size_t bytes) {
-  std::string out(bytes, '\0');
-  for (size_t n = 0; n < bytes; ++n) {
-    out[n] = static_cast<char>(number >> (8 * (bytes - 1 - n)));
-  }
-  return out;
+/// The bytes of a number, the highest first.
+template <typename Number>
+std::string BigEndian(Number number) {
+  boost::endian::native_to_big_inplace(number);
+  return {reinterpret_cast<const char*>(&number), sizeof(number)};
 }
 
 std::string Base64(std::string_view bytes) {
@@ -133,10 +133,8 @@
     constexpr size_t kLength = 4;
     const uint64_t first = topics_[topic].end;
     while (body.size() > kLength) {
-      size_t size = 0;
-      for (const char c : body.substr(0, kLength)) {
-        size = size << 8 | static_cast<unsigned char>(c);
-      }
+      const uint32_t size = boost::endian::load_big_u32(
+          reinterpret_cast<const unsigned char*>(body.data()));
       body.remove_prefix(kLength);
       if (size == 0 || size > body.size()) {
         return Status(400);
@@ -200,13 +198,13 @@
 
   static http::Response Batch(const Topic& log, uint64_t from) {
     http::Response response;
-    response.body = BigEndian(log.end, 8) + BigEndian(log.first, 8);
+    response.body = BigEndian(log.end) + BigEndian(log.first);
     for (const Record& record : log.records) {
       if (record.offset < from) {
         continue;
       }
-      response.body +=
-          BigEndian(1 + record.key.size() + record.value.size(), 4);
+      response.body += BigEndian(
+          static_cast<uint32_t>(1 + record.key.size() + record.value.size()));
       response.body += static_cast<char>(record.key.size());
       response.body += record.key + record.value;
     }
--- /dev/null
+++ b/soak/after.h
@@ -0,0 +1,29 @@
+#ifndef FILBERTWICK_SOAK_AFTER_H_
+#define FILBERTWICK_SOAK_AFTER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <utility>
+
+#include "filbertwick/base/time.h"
+
+namespace filbertwick::soak {
+
+/// Calls `act` once on the context's thread, unless the context ends first.
+inline void After(boost::asio::io_context& context,
+                  Duration wait,
+                  std::function<void()> act) {
+  const auto timer = std::make_shared<boost::asio::steady_timer>(context, wait);
+  timer->async_wait(
+      [timer, act = std::move(act)](const boost::system::error_code& ec) {
+        if (!ec) {
+          act();
+        }
+      });
+}
+
+}  // namespace filbertwick::soak
+
+#endif  // FILBERTWICK_SOAK_AFTER_H_
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -10,6 +10,7 @@
 #include "filbertwick/harness/random.h"
 #include "filbertwick/http/client.h"
 #include "filbertwick/http/target.h"
+#include "soak/after.h"
 
 namespace filbertwick::soak {
 namespace {
@@ -72,11 +73,12 @@
   };
   using Clients = std::vector<std::unique_ptr<http::Client>>;
 
-  void Connect(const std::vector<Endpoint>& endpoints, Clients& clients) {
-    for (const Endpoint& endpoint : endpoints) {
+  void Connect(const std::vector<platform::Address>& addresses,
+               Clients& clients) {
+    for (const platform::Address& address : addresses) {
       http::ClientSettings settings;
-      settings.host = endpoint.host;
-      settings.port = endpoint.port;
+      settings.host = address.host;
+      settings.port = address.port;
       clients.push_back(http::Client::Create(context_, settings));
     }
   }
@@ -239,10 +241,8 @@
 }
 
 void Callers::Impl::SendAfter(const std::shared_ptr<Job>& job, Duration wait) {
-  const auto timer = std::make_shared<asio::steady_timer>(context_, wait);
-  timer->async_wait([weak = weak_from_this(), timer, job](const ErrorCode& ec) {
-    const auto self = weak.lock();
-    if (!ec && self) {
+  After(context_, wait, [weak = weak_from_this(), job] {
+    if (const auto self = weak.lock()) {
       self->Send(job);
     }
   });
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -10,17 +10,17 @@
 #include <string_view>
 #include <vector>
 
+#include "filbertwick/platform/platform_settings.h"
 #include "soak/observer.h"
-#include "soak/relay.h"
 
 namespace filbertwick::soak {
 
 /// Where callers send, and how often.
 struct CallerSettings {
   /// Entries, as callers reach them.
-  std::vector<Endpoint> entries;
+  std::vector<platform::Address> entries;
   /// Where each entry says whether it takes connections.
-  std::vector<Endpoint> readiness;
+  std::vector<platform::Address> readiness;
   std::string host;
   std::string path_prefix;
   double jobs_per_second = 30;
--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -4,13 +4,11 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <memory>
 #include <string_view>
-#include <utility>
 
 #include "filbertwick/harness/random.h"
+#include "soak/after.h"
 
 namespace filbertwick::soak {
 namespace {
@@ -75,50 +73,39 @@
   }
 }
 
-/// Faults of processes, and of what an instance is connected to.
-void BeginAtInstance(Fleet& fleet, const Fault& fault, size_t n) {
+/// Begins or ends a fault of a process or of what it is connected to.
+void SwitchInstance(Fleet& fleet, const Fault& fault, size_t n, bool begins) {
   Instance& instance = fleet.instance(n);
-  fleet.Disturb(n);
+  begins ? fleet.Disturb(n) : fleet.Settle(n);
   switch (fault.kind) {
     case FaultKind::kKill:
-      instance.Kill();
+    case FaultKind::kKillAll:
+      begins ? instance.Kill() : instance.Start();
       break;
     case FaultKind::kStop:
-      instance.Stop();
-      break;
-    case FaultKind::kPause:
-      instance.Pause();
+      begins ? instance.Stop() : instance.Start();
       break;
     case FaultKind::kPauseAndReset:
-      instance.Pause();
-      fleet.relay(n, RelayPlace::kCallers)->ResetAll();
+      if (begins) {
+        fleet.relay(n, RelayPlace::kCallers)->ResetAll();
+      }
+      [[fallthrough]];
+    case FaultKind::kPause:
+      begins ? instance.Pause() : instance.Resume();
       break;
     case FaultKind::kReload:
-      instance.Reload();
+      if (begins) {
+        instance.Reload();
+      }
       break;
     case FaultKind::kRelay:
-      SetRelay(fleet, fault, n, true);
+      SetRelay(fleet, fault, n, begins);
       break;
     default:
       break;
   }
 }
 
-void EndAtInstance(Fleet& fleet, const Fault& fault, size_t n) {
-  Instance& instance = fleet.instance(n);
-  if (fault.kind == FaultKind::kKill || fault.kind == FaultKind::kStop ||
-      fault.kind == FaultKind::kKillAll) {
-    // A start that fails is seen by Heal(), which starts all again.
-    instance.Start().IgnoreError();
-  } else if (fault.kind == FaultKind::kPause ||
-             fault.kind == FaultKind::kPauseAndReset) {
-    instance.Resume();
-  } else if (fault.kind == FaultKind::kRelay) {
-    SetRelay(fleet, fault, n, false);
-  }
-  fleet.Settle(n);
-}
-
 void SwitchUpstream(Upstream& upstream, FaultKind kind, bool begins) {
   switch (kind) {
     case FaultKind::kUpstreamDies:
@@ -140,80 +127,43 @@
   }
 }
 
-void Begin(Fleet& fleet, const Fault& fault) {
+/// Begins or ends a fault.
+void Switch(Fleet& fleet, const Fault& fault, bool begins) {
   switch (fault.kind) {
     case FaultKind::kKillAll:
-      ForAll(fleet, [&](size_t n) {
-        fleet.Disturb(n);
-        fleet.instance(n).Kill();
-      });
+      ForAll(fleet, [&](size_t n) { SwitchInstance(fleet, fault, n, begins); });
       break;
     case FaultKind::kStoreDown:
-      ForAll(fleet, [&](size_t n) { fleet.Disturb(n); });
-      fleet.SetStoreDown(true);
+      ForAll(fleet,
+             [&](size_t n) { begins ? fleet.Disturb(n) : fleet.Settle(n); });
+      fleet.SetStoreDown(begins);
       break;
     case FaultKind::kStoreCompact:
-      fleet.CompactStore();
-      break;
-    case FaultKind::kConfiguration:
-      fleet.PublishConfiguration();
-      break;
-    case FaultKind::kZoneOut:
-      fleet.SetZoneOut(fault.target % Fleet::kZones, true);
-      break;
-    case FaultKind::kUpstreamDies:
-    case FaultKind::kUpstreamHangs:
-    case FaultKind::kUpstreamLate:
-    case FaultKind::kDrain:
-      SwitchUpstream(fleet.upstream(SidecarOf(fleet, fault.target)), fault.kind,
-                     true);
-      break;
-    default:
-      BeginAtInstance(fleet, fault, InstanceOf(fleet, fault));
-      break;
-  }
-}
-
-void End(Fleet& fleet, const Fault& fault) {
-  switch (fault.kind) {
-    case FaultKind::kKillAll:
-      ForAll(fleet, [&](size_t n) { EndAtInstance(fleet, fault, n); });
-      break;
-    case FaultKind::kStoreDown:
-      fleet.SetStoreDown(false);
-      ForAll(fleet, [&](size_t n) { fleet.Settle(n); });
+      if (begins) {
+        fleet.CompactStore();
+      }
       break;
-    case FaultKind::kStoreCompact:
     case FaultKind::kConfiguration:
+      if (begins) {
+        fleet.PublishConfiguration();
+      }
       break;
     case FaultKind::kZoneOut:
-      fleet.SetZoneOut(fault.target % Fleet::kZones, false);
+      fleet.SetZoneOut(fault.target % Fleet::kZones, begins);
       break;
     case FaultKind::kUpstreamDies:
     case FaultKind::kUpstreamHangs:
     case FaultKind::kUpstreamLate:
     case FaultKind::kDrain:
       SwitchUpstream(fleet.upstream(SidecarOf(fleet, fault.target)), fault.kind,
-                     false);
+                     begins);
       break;
     default:
-      EndAtInstance(fleet, fault, InstanceOf(fleet, fault));
+      SwitchInstance(fleet, fault, InstanceOf(fleet, fault), begins);
       break;
   }
 }
 
-void After(boost::asio::io_context& context,
-           Duration wait,
-           std::function<void()> act) {
-  const auto timer = std::make_shared<boost::asio::steady_timer>(context, wait);
-  timer->async_wait(
-      [timer, act = std::move(act)](const boost::system::error_code& ec) {
-        if (!ec) {
-          act();
-        }
-      });
-}
-
 }  // namespace
 
 std::vector<Fault> DrawFaults(uint64_t seed,
@@ -250,9 +200,9 @@
 void PlayFault(boost::asio::io_context& context,
                Fleet& fleet,
                const Fault& fault) {
-  After(context, fault.at, [&fleet, fault] { Begin(fleet, fault); });
+  After(context, fault.at, [&fleet, fault] { Switch(fleet, fault, true); });
   After(context, fault.at + fault.length,
-        [&fleet, fault] { End(fleet, fault); });
+        [&fleet, fault] { Switch(fleet, fault, false); });
 }
 
 }  // namespace filbertwick::soak
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -90,8 +90,12 @@
     size_t disturbances = 0;
   };
 
-  Endpoint StoreEndpoint() const { return {HostOf(size()), kStorePort}; }
-  absl::Status AddRelay(size_t n, RelayPlace place, const Endpoint& server);
+  platform::Address StoreEndpoint() const {
+    return {HostOf(size()), kStorePort};
+  }
+  absl::Status AddRelay(size_t n,
+                        RelayPlace place,
+                        const platform::Address& server);
   absl::Status AddMachine(size_t n);
   absl::Status AddUpstream(size_t n);
   absl::Status WriteSettings(size_t n) const;
@@ -116,7 +120,7 @@
 };
 
 absl::Status Fleet::Impl::Start() {
-  const Endpoint store = StoreEndpoint();
+  const platform::Address store = StoreEndpoint();
   auto made = standin::PlatformStore::Create(context_, store.host, store.port);
   if (!made.ok()) {
     return made.status();
@@ -135,19 +139,15 @@
     }
   });
   AddCallers();
-  for (const auto& instance : instances_) {
-    if (absl::Status status = instance->Start(); !status.ok()) {
-      return status;
-    }
-  }
+  std::ranges::for_each(instances_, [](const auto& it) { it->Start(); });
   return absl::OkStatus();
 }
 
 absl::Status Fleet::Impl::AddRelay(size_t n,
                                    RelayPlace place,
-                                   const Endpoint& server) {
-  const Endpoint listen = {HostOf(n),
-                           static_cast<uint16_t>(server.port + kRelayOffset)};
+                                   const platform::Address& server) {
+  const platform::Address listen = {
+      HostOf(n), static_cast<uint16_t>(server.port + kRelayOffset)};
   auto relay = Relay::Create(context_, listen, server);
   if (!relay.ok()) {
     return relay.status();
@@ -295,9 +295,7 @@
   }
   for (const auto& instance : instances_) {
     instance->Resume();
-    if (const absl::Status status = instance->Start(); !status.ok()) {
-      observer_.Report("start", std::string(status.message()));
-    }
+    instance->Start();
   }
 }
 
--- a/soak/instance.cc
+++ b/soak/instance.cc
@@ -48,10 +48,10 @@
   Kill();
 }
 
-absl::Status Instance::Start() {
+void Instance::Start() {
   if (process_) {
     start_after_stop_ = stop_asked_.has_value();
-    return absl::OkStatus();
+    return;
   }
   const uintmax_t log_size = SizeOf(log_);
   auto process = bench::ChildProcess::StartLogged(
@@ -59,7 +59,8 @@
        "FILBERTWICK_SETTINGS=" + settings_file_, program_},
       log_);
   if (!process.ok()) {
-    return process.status();
+    observer_.Report("start", std::string(process.status().message()));
+    return;
   }
   process_ = *std::move(process);
   log_size_at_start_ = log_size;
@@ -67,7 +68,6 @@
   start_after_stop_ = false;
   paused_ = false;
   was_paused_ = false;
-  return absl::OkStatus();
 }
 
 void Instance::Kill() {
@@ -133,9 +133,7 @@
   process_.reset();
   stop_asked_.reset();
   if (std::exchange(start_after_stop_, false)) {
-    if (const absl::Status status = Start(); !status.ok()) {
-      observer_.Report("start", std::string(status.message()));
-    }
+    Start();
   }
 }
 
--- a/soak/instance.h
+++ b/soak/instance.h
@@ -1,8 +1,6 @@
 #ifndef FILBERTWICK_SOAK_INSTANCE_H_
 #define FILBERTWICK_SOAK_INSTANCE_H_
 
-#include <absl/status/status.h>
-
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -27,8 +25,8 @@
   ~Instance();
 
   /// Starts a process, or sees to it that one follows a planned stop; nothing
-  /// while one runs.
-  absl::Status Start();
+  /// while one runs. A program that can't be started is reported.
+  void Start();
   void Kill();
   /// Asks the process to stop; it has to within the grace.
   void Stop();
--- a/soak/observer.cc
+++ b/soak/observer.cc
@@ -87,7 +87,7 @@
 
 void Observer::Report(std::string_view promise, std::string text) {
   violations_.push_back(
-      {std::string(promise), std::move(text), MonotonicClock::now() - begun_});
+      {MonotonicClock::now() - begun_, std::string(promise), std::move(text)});
 }
 
 }  // namespace filbertwick::soak
--- a/soak/observer.h
+++ b/soak/observer.h
@@ -11,16 +11,10 @@
 #include <vector>
 
 #include "filbertwick/base/time.h"
+#include "filbertwick/harness/observer.h"
 
 namespace filbertwick::soak {
 
-/// A promise that was broken.
-struct Violation {
-  std::string promise;
-  std::string text;
-  Duration at{0};
-};
-
 /// What callers got, in numbers.
 struct CallerCounts {
   uint64_t jobs = 0;
@@ -57,7 +51,9 @@
 
   void Report(std::string_view promise, std::string text);
 
-  const std::vector<Violation>& violations() const { return violations_; }
+  const std::vector<harness::Violation>& violations() const {
+    return violations_;
+  }
   CallerCounts& counts() { return counts_; }
   uint64_t starts() const { return starts_; }
 
@@ -73,7 +69,7 @@
   std::map<std::string, Job> jobs_;
   /// Task to the upstreams where it runs now.
   std::map<std::string, std::multiset<std::string>> running_;
-  std::vector<Violation> violations_;
+  std::vector<harness::Violation> violations_;
   CallerCounts counts_;
   uint64_t starts_ = 0;
 };
--- a/soak/relay.cc
+++ b/soak/relay.cc
@@ -21,8 +21,8 @@
 constexpr Duration kAddedDelay = std::chrono::milliseconds(150);
 constexpr size_t kPieceBytes = 16 * 1024;
 
-Tcp::endpoint ToEndpoint(const Endpoint& endpoint) {
-  return {asio::ip::make_address(endpoint.host), endpoint.port};
+Tcp::endpoint ToEndpoint(const platform::Address& address) {
+  return {asio::ip::make_address(address.host), address.port};
 }
 
 /// Closes so that the other end sees a reset.
@@ -36,10 +36,10 @@
 
 class Relay::Impl : public std::enable_shared_from_this<Impl> {
  public:
-  Impl(asio::io_context& context, const Endpoint& server)
+  Impl(asio::io_context& context, const platform::Address& server)
       : context_(context), server_(ToEndpoint(server)), acceptor_(context) {}
 
-  absl::Status Listen(const Endpoint& listen) {
+  absl::Status Listen(const platform::Address& listen) {
     const Tcp::endpoint endpoint = ToEndpoint(listen);
     ErrorCode ec;
     acceptor_.open(endpoint.protocol(), ec);
@@ -227,9 +227,10 @@
 
 Relay::~Relay() = default;
 
-absl::StatusOr<std::unique_ptr<Relay>> Relay::Create(asio::io_context& context,
-                                                     const Endpoint& listen,
-                                                     const Endpoint& server) {
+absl::StatusOr<std::unique_ptr<Relay>> Relay::Create(
+    asio::io_context& context,
+    const platform::Address& listen,
+    const platform::Address& server) {
   auto impl = std::make_shared<Impl>(context, server);
   if (absl::Status status = impl->Listen(listen); !status.ok()) {
     return status;
--- a/soak/relay.h
+++ b/soak/relay.h
@@ -6,18 +6,11 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <memory>
-#include <string>
 
-#include "filbertwick/base/time.h"
+#include "filbertwick/platform/platform_settings.h"
 
 namespace filbertwick::soak {
 
-/// A TCP endpoint.
-struct Endpoint {
-  std::string host;
-  uint16_t port = 0;
-};
-
 /// What a relay does with the bytes of both directions.
 enum class RelayMode : uint8_t {
   kPass,
@@ -40,8 +33,8 @@
   /// Listens, or fails with Unavailable.
   static absl::StatusOr<std::unique_ptr<Relay>> Create(
       boost::asio::io_context& context,
-      const Endpoint& listen,
-      const Endpoint& server);
+      const platform::Address& listen,
+      const platform::Address& server);
   ~Relay();
 
   /// Holds for bytes that arrive from now on, on all connections. What
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <charconv>
 #include <cstdint>
 #include <cstdio>
 #include <exception>
@@ -16,6 +15,7 @@
 #include <string>
 #include <string_view>
 
+#include "filbertwick/http/target.h"
 #include "soak/faults.h"
 #include "soak/fleet.h"
 #include "soak/observer.h"
@@ -166,10 +166,10 @@
         counts.resent, counts.given_up, observer_.starts(),
         recovered_after_ / std::chrono::milliseconds(1),
         observer_.violations().size());
-    for (const Violation& violation : observer_.violations()) {
+    for (const harness::Violation& violation : observer_.violations()) {
       fmt::print("  {} ms {}: {}\n",
-                 violation.at / std::chrono::milliseconds(1), violation.promise,
-                 violation.text);
+                 violation.when / std::chrono::milliseconds(1),
+                 violation.promise, violation.text);
     }
     if (!observer_.violations().empty()) {
       for (const Fault& fault : faults_) {
@@ -206,17 +206,17 @@
 
 template <typename T>
 bool ParseInto(std::string_view text, T& number) {
-  const auto [end, ec] =
-      std::from_chars(text.data(), text.data() + text.size(), number);
-  return ec == std::errc() && end == text.data() + text.size();
+  const auto parsed = http::ParseNumber(text);
+  number = static_cast<T>(parsed.value_or(0));
+  return parsed.has_value();
 }
 
+/// `A-B`, or one seed.
 bool ParseSeeds(std::string_view text, Options& options) {
   const size_t dash = text.find('-');
-  return dash == text.npos
-             ? ParseInto(text, options.first) && ParseInto(text, options.last)
-             : ParseInto(text.substr(0, dash), options.first) &&
-                   ParseInto(text.substr(dash + 1), options.last);
+  return ParseInto(text.substr(0, dash), options.first) &&
+         ParseInto(dash == text.npos ? text : text.substr(dash + 1),
+                   options.last);
 }
 
 bool ParseOptions(int argc, char** argv, Options& options) {
--- a/soak/upstream.cc
+++ b/soak/upstream.cc
@@ -14,6 +14,7 @@
 #include "filbertwick/http/server.h"
 #include "filbertwick/http/target.h"
 #include "filbertwick/platform/json_fields.h"
+#include "soak/after.h"
 
 namespace filbertwick::soak {
 namespace {
@@ -25,7 +26,6 @@
 using core::direct::OrderAnswer;
 using core::direct::OrderStamp;
 using core::direct::StartOrder;
-using core::direct::StopOrder;
 using core::direct::TaskRun;
 using filbertwick::harness::DirectUpstream;
 using http::Request;
@@ -105,6 +105,13 @@
   }
 
  private:
+  /// What a sidecar asks for.
+  struct Call {
+    std::string target;
+    OrderStamp stamp;
+    json::object body;
+  };
+
   /// A listing that waits for an end.
   struct Wait {
     ListOrder order;
@@ -112,19 +119,24 @@
     Responder respond;
   };
 
+  static TaskRun RunOf(const Call& call) {
+    return {std::string(platform::FindString(call.body, "task").value_or("")),
+            static_cast<uint64_t>(
+                platform::FindInteger(call.body, "run").value_or(0))};
+  }
+
   Duration Now() const { return MonotonicClock::now() - begun_; }
   void Tick();
   void Announce();
   void OnAnnounced(const http::CallResult& result);
   void Take(const Request& request, const Responder& respond);
-  Response CarryOut(const Request& request);
-  Response Start(const json::object& body, const OrderStamp& stamp);
-  Response Stop(const json::object& body, const OrderStamp& stamp);
-  bool TakeList(const Request& request, const Responder& respond);
-  Response List(const ListOrder& order, bool& has_end);
+  void CarryOut(const Call& call, const Responder& respond);
+  Response Start(const Call& call);
+  void AnswerList(const Call& call, const Responder& respond);
+  /// Lists; `is_final` unless the answer may wait for an end.
+  Response List(const ListOrder& order, bool& is_final);
   Response Answer(OrderAnswer answer) const;
   void CheckStart(const TaskRun& run);
-  void Schedule(const Request& request);
 
   asio::io_context& context_;
   const UpstreamSettings settings_;
@@ -202,10 +214,10 @@
     Revive();
   }
   for (auto it = waits_.begin(); it != waits_.end();) {
-    bool has_end = false;
+    bool is_final = false;
     it->order.lease_until = 0;
-    Response response = List(it->order, has_end);
-    if (has_end || MonotonicClock::now() >= it->until) {
+    Response response = List(it->order, is_final);
+    if (is_final || MonotonicClock::now() >= it->until) {
       it->respond(std::move(response));
       it = waits_.erase(it);
     } else {
@@ -264,25 +276,28 @@
     respond({http::kNoResponse, {}, ""});
     return;
   }
-  if (late_ && random_.Chance(kLateShare)) {
-    Schedule(request);
+  auto body = platform::ParseObject(request.body);
+  if (!body) {
+    respond({400, {}, ""});
     return;
   }
-  if (!TakeList(request, respond)) {
-    respond(CarryOut(request));
+  Call call;
+  call.target = request.target;
+  call.stamp.upstream = request.FindHeader("Filbertwick-Expect-Instance");
+  call.stamp.fencing_token = static_cast<uint64_t>(
+      platform::FindInteger(*body, "fencing-token").value_or(0));
+  call.body = *std::move(body);
+  if (!late_ || !random_.Chance(kLateShare)) {
+    CarryOut(call, respond);
+    return;
   }
-}
-
-void Upstream::Impl::Schedule(const Request& request) {
-  const auto timer = std::make_shared<asio::steady_timer>(
-      context_, random_.Between(kLateMin, kLateMax));
-  timer->async_wait(
-      [weak = weak_from_this(), timer, request](const ErrorCode& ec) {
-        const auto self = weak.lock();
-        if (!ec && self && self->runs_) {
-          self->CarryOut(request);
-        }
-      });
+  After(context_, random_.Between(kLateMin, kLateMax),
+        [weak = weak_from_this(), call = std::move(call)] {
+          const auto self = weak.lock();
+          if (self && self->runs_) {
+            self->CarryOut(call, [](const Response&) {});
+          }
+        });
 }
 
 Response Upstream::Impl::Answer(OrderAnswer answer) const {
@@ -301,42 +316,26 @@
   }
 }
 
-Response Upstream::Impl::CarryOut(const Request& request) {
-  OrderStamp stamp;
-  stamp.upstream = request.FindHeader("Filbertwick-Expect-Instance");
-  if (stamp.upstream != id_) {
-    return Answer(OrderAnswer::kOtherLife);
-  }
-  const auto value = platform::ParseJson(request.body);
-  const json::object* body = value ? platform::AsObject(*value) : nullptr;
-  if (body == nullptr) {
-    return {400, {}, ""};
-  }
-  stamp.fencing_token = static_cast<uint64_t>(
-      platform::FindInteger(*body, "fencing-token").value_or(0));
-  if (request.target == "/api/run-start") {
-    return Start(*body, stamp);
-  }
-  if (request.target == "/api/run-stop") {
-    return Stop(*body, stamp);
+void Upstream::Impl::CarryOut(const Call& call, const Responder& respond) {
+  if (call.stamp.upstream != id_) {
+    respond(Answer(OrderAnswer::kOtherLife));
+  } else if (call.target == "/api/run-start") {
+    respond(Start(call));
+  } else if (call.target == "/api/run-stop") {
+    respond(Answer(runs_->Stop(Now(), {call.stamp, RunOf(call)})));
+  } else if (call.target == "/api/hold") {
+    AnswerList(call, respond);
+  } else {
+    respond({404, {}, ""});
   }
-  // A listing that comes late lists for nobody, but extends the lease.
-  ListOrder order;
-  order.stamp = stamp;
-  order.lease_until = platform::FindInteger(*body, "until-ms").value_or(0);
-  bool has_end = false;
-  return List(order, has_end);
 }
 
-Response Upstream::Impl::Start(const json::object& body,
-                               const OrderStamp& stamp) {
+Response Upstream::Impl::Start(const Call& call) {
   StartOrder order;
-  order.stamp = stamp;
-  order.run = {
-      std::string(platform::FindString(body, "task").value_or("")),
-      static_cast<uint64_t>(platform::FindInteger(body, "run").value_or(0))};
-  order.spec = platform::FindString(body, "spec").value_or("");
-  order.lease_until = platform::FindInteger(body, "until-ms").value_or(0);
+  order.stamp = call.stamp;
+  order.run = RunOf(call);
+  order.spec = platform::FindString(call.body, "spec").value_or("");
+  order.lease_until = platform::FindInteger(call.body, "until-ms").value_or(0);
   runs_->Advance(Now());
   const size_t before = runs_->Running().size();
   const auto answer =
@@ -364,50 +363,31 @@
   }
 }
 
-Response Upstream::Impl::Stop(const json::object& body,
-                              const OrderStamp& stamp) {
-  StopOrder order;
-  order.stamp = stamp;
-  order.run = {
-      std::string(platform::FindString(body, "task").value_or("")),
-      static_cast<uint64_t>(platform::FindInteger(body, "run").value_or(0))};
-  return Answer(runs_->Stop(Now(), order));
-}
-
-bool Upstream::Impl::TakeList(const Request& request,
-                              const Responder& respond) {
-  const auto value = platform::ParseJson(request.body);
-  const json::object* body = value ? platform::AsObject(*value) : nullptr;
-  if (request.target != "/api/hold" || body == nullptr ||
-      request.FindHeader("Filbertwick-Expect-Instance") != id_) {
-    return false;
-  }
+void Upstream::Impl::AnswerList(const Call& call, const Responder& respond) {
   ListOrder order;
-  order.stamp.fencing_token = static_cast<uint64_t>(
-      platform::FindInteger(*body, "fencing-token").value_or(0));
+  order.stamp = call.stamp;
   order.ends_taken = static_cast<uint64_t>(
-      platform::FindInteger(*body, "seen-upto").value_or(0));
-  order.lease_until = platform::FindInteger(*body, "until-ms").value_or(0);
+      platform::FindInteger(call.body, "seen-upto").value_or(0));
+  order.lease_until = platform::FindInteger(call.body, "until-ms").value_or(0);
   const Duration wait =
-      platform::FindMillis(*body, "wait-ms").value_or(Duration(0));
-  bool has_end = false;
-  Response response = List(order, has_end);
-  if (has_end || wait == Duration(0) || response.status != 200) {
+      platform::FindMillis(call.body, "wait-ms").value_or(Duration(0));
+  bool is_final = false;
+  Response response = List(order, is_final);
+  if (is_final || wait == Duration(0)) {
     respond(std::move(response));
   } else {
     waits_.push_back({order, MonotonicClock::now() + wait, respond});
   }
-  return true;
 }
 
-Response Upstream::Impl::List(const ListOrder& order, bool& has_end) {
+Response Upstream::Impl::List(const ListOrder& order, bool& is_final) {
   core::direct::Listing listing;
   const auto answer = runs_->List(Now(), order, listing);
   if (answer != OrderAnswer::kAccepted) {
-    has_end = true;
+    is_final = true;
     return Answer(answer);
   }
-  has_end = !listing.ended.empty();
+  is_final = !listing.ended.empty();
   std::string running;
   for (const auto& item : listing.running) {
     running += fmt::format(R"({}["{}",{},"",{},0])", running.empty() ? "" : ",",
--- a/soak/upstream.h
+++ b/soak/upstream.h
@@ -8,8 +8,8 @@
 #include <memory>
 #include <string>
 
+#include "filbertwick/platform/platform_settings.h"
 #include "soak/observer.h"
-#include "soak/relay.h"
 
 namespace filbertwick::soak {
 
@@ -18,10 +18,10 @@
   std::string name;
   std::string zone;
   std::string service;
-  Endpoint listen;
+  platform::Address listen;
   /// Address that it names in its announcements.
-  Endpoint reached_at;
-  Endpoint sidecar;
+  platform::Address reached_at;
+  platform::Address sidecar;
   /// Tasks of one core at a time.
   size_t room = 4;
   /// Speed of its clock.
