Format a log line once

EventLog formatted the line's object, cut its first brace off with a copy and joined it to the head with another. LogLine gives its members, and one format call writes the line; places are counted without copies of their names.

--- a/filbertwick/base/event_log.cc
+++ b/filbertwick/base/event_log.cc
@@ -26,13 +26,13 @@
     ++budget.left_out;
     return;
   }
-  std::string head = fmt::format("{{\"unix_ms\":{},\"instance\":\"{}\"",
-                                 wall.unix_millis, instance_);
-  if (const uint64_t n = std::exchange(budget.left_out, 0); n > 0) {
-    head += fmt::format(",\"left_out\":{}", n);
-  }
-  // The line's own object continues the head.
-  output_.Write("", head + "," + line.Text().substr(1));
+  const uint64_t left_out = std::exchange(budget.left_out, 0);
+  output_.Write(
+      "",
+      fmt::format("{{\"unix_ms\":{},\"instance\":\"{}\",{}{}}}",
+                  wall.unix_millis, instance_,
+                  left_out > 0 ? fmt::format("\"left_out\":{},", left_out) : "",
+                  line.Members()));
 }
 
 LogSink StandardOutputSink() {
--- a/filbertwick/base/log_line.cc
+++ b/filbertwick/base/log_line.cc
@@ -43,7 +43,11 @@
 }
 
 std::string LogLine::Text() const {
-  return fmt::format("{{\"event\":\"{}\"{}}}", event_, fields_);
+  return fmt::format("{{{}}}", Members());
+}
+
+std::string LogLine::Members() const {
+  return fmt::format("\"event\":\"{}\"{}", event_, fields_);
 }
 
 }  // namespace filbertwick
--- a/filbertwick/base/log_line.h
+++ b/filbertwick/base/log_line.h
@@ -28,6 +28,8 @@
   const std::string& event() const { return event_; }
   /// The JSON object, without a line end.
   std::string Text() const;
+  /// The members of the object, without its braces.
+  std::string Members() const;
 
  private:
   std::string event_;
--- a/filbertwick/core/direct/direct_entry_log.cc
+++ b/filbertwick/core/direct/direct_entry_log.cc
@@ -39,15 +39,15 @@
 }
 
 std::string DirectEntry::Impl::PlacesOf(const DirectJob& job) {
-  std::map<InstanceName, size_t> counts;
+  std::map<std::string_view, size_t> counts;
   for (const JobTask& task : job.tasks) {
     if (task.phase == TaskPhase::kPlaced) {
-      ++counts[task.place];
+      ++counts[task.place.value()];
     }
   }
   std::string text;
   for (const auto& [name, n] : counts) {
-    text += fmt::format("{}{}:{}", text.empty() ? "" : " ", name.value(), n);
+    text += fmt::format("{}{}:{}", text.empty() ? "" : " ", name, n);
   }
   return text;
 }
