--- a/filbertwick/http/server.cc
+++ b/filbertwick/http/server.cc
@@ -154,6 +154,7 @@
   bool stopping_ = false;
   /// Accepting failed and is tried again at the next sweep.
   bool accept_failed_ = false;
+  bool sweep_scheduled_ = false;
 };
 
 /// One connection; a read is always under way unless a further request waits.
@@ -485,7 +486,6 @@
 
 void Server::Impl::Start() {
   Accept();
-  ScheduleSweep();
 }
 
 void Server::Impl::Accept() {
@@ -501,6 +501,7 @@
   }
   if (ec) {
     accept_failed_ = true;
+    ScheduleSweep();
     return;
   }
   if (connections_.size() < settings_.max_connections) {
@@ -509,11 +510,15 @@
     connections_.insert(connection);
     open_connections_ = connections_.size();
     connection->Start();
+    ScheduleSweep();
   }
   Accept();
 }
 
 void Server::Impl::ScheduleSweep() {
+  if (std::exchange(sweep_scheduled_, true)) {
+    return;
+  }
   const Duration shortest =
       std::min({settings_.header_timeout, settings_.read_timeout,
                 settings_.idle_timeout});
@@ -527,6 +532,7 @@
 }
 
 void Server::Impl::Sweep() {
+  sweep_scheduled_ = false;
   const Instant now = MonotonicClock::now();
   const std::vector<std::shared_ptr<Connection>> connections(
       connections_.begin(), connections_.end());
@@ -537,7 +543,9 @@
     accept_failed_ = false;
     Accept();
   }
-  ScheduleSweep();
+  if (!connections_.empty()) {
+    ScheduleSweep();
+  }
 }
 
 void Server::Impl::StopAccepting() {
