--- a/filbertwick/harness/direct_trial.cc
+++ b/filbertwick/harness/direct_trial.cc
@@ -106,6 +106,11 @@
     return InstanceName(fmt::format("sidecar-{}", n));
   }
 
+  static uint32_t NumberOf(const InstanceName& name) {
+    return static_cast<uint32_t>(
+        std::stoul(name.value().substr(name.value().find('-') + 1)));
+  }
+
   // Runs now, later when the process thaws, or never when it died meanwhile.
   void Deliver(Process& process,
                uint64_t life,
@@ -249,8 +254,7 @@
   }
 
   void SendToSidecar(uint32_t from, direct::SendToSidecarEffect send) {
-    const auto to = static_cast<uint32_t>(
-        std::stoul(send.to.value().substr(send.to.value().find('-') + 1)));
+    const uint32_t to = NumberOf(send.to);
     const Duration delay = Delay(fmt::format("e{}s{}", from, to));
     // A datagram finds whichever life is there when it arrives.
     loop_.After(delay, [this, to, message = std::move(send.message)] {
@@ -263,8 +267,7 @@
   }
 
   void Do(uint32_t from, direct::SendToEntryEffect& send) {
-    const auto to = static_cast<uint32_t>(
-        std::stoul(send.to.value().substr(send.to.value().find('-') + 1)));
+    const uint32_t to = NumberOf(send.to);
     const Duration delay = Delay(fmt::format("s{}e{}", from, to));
     loop_.After(delay, [this, to, message = std::move(send.message)] {
       Deliver(entries_[to], entries_[to].life, [this, to, message] {
@@ -499,30 +502,25 @@
     for (const auto& [request, id] : entry.open) {
       loop_.After(kResend, [this, id = id] { SendJob(id, false); });
     }
-    ++entry.life;
-    entry.frozen_until = Duration(0);
-    entry.dead_until =
-        loop_.now() + random_.Between(50 * kMilli, 1500 * kMilli);
     entry.open.clear();
-    const uint64_t life = entry.life;
-    loop_.At(entry.dead_until, [this, n, life] {
-      if (entries_[n].life == life) {
-        BeginEntry(n);
-      }
-    });
+    Kill(entry, random_.Between(50 * kMilli, 1500 * kMilli),
+         [this, n] { BeginEntry(n); });
   }
 
   void KillSidecar(uint32_t n) {
     Trace("sidecar-{} is killed", n);
-    Sidecar& sidecar = sidecars_[n];
-    ++sidecar.life;
-    sidecar.frozen_until = Duration(0);
-    sidecar.dead_until =
-        loop_.now() + random_.Between(30 * kMilli, 1500 * kMilli);
-    const uint64_t life = sidecar.life;
-    loop_.At(sidecar.dead_until, [this, n, life] {
-      if (sidecars_[n].life == life) {
-        BeginSidecar(n);
+    Kill(sidecars_[n], random_.Between(30 * kMilli, 1500 * kMilli),
+         [this, n] { BeginSidecar(n); });
+  }
+
+  /// Ends a life; the next one begins after `away`, unless it was killed again.
+  void Kill(Process& process, Duration away, std::function<void()> begin) {
+    const uint64_t life = ++process.life;
+    process.frozen_until = Duration(0);
+    process.dead_until = loop_.now() + away;
+    loop_.At(process.dead_until, [&process, life, begin = std::move(begin)] {
+      if (process.life == life) {
+        begin();
       }
     });
   }
