Soak: judge each order by whether it came late, and kill without waiting in turn

Starts were not judged for drains and evacuations while their upstream was late with some orders, and an order held back until after that was judged as if its sidecar had just sent it. Now the order itself says whether it is late: those on time are always judged, those held back never.

A killed process was waited for in steps of 20 ms, so that killing 48 stopped the upstreams of the soak for a second. ChildProcess::Kill waits for the end itself, which the kernel gives at once.

--- a/bench/live/child_process.cc
+++ b/bench/live/child_process.cc
@@ -87,10 +87,7 @@
   for (int i = 0; i < kEndChecks && !Poll(); ++i) {
     std::this_thread::sleep_for(kEndCheckPause);
   }
-  if (!end_status_) {
-    Signal(SIGKILL);
-    waitpid(pid_, nullptr, 0);
-  }
+  Kill();
   if (output_ != kNoOutput) {
     close(output_);
   }
@@ -102,6 +99,14 @@
   }
 }
 
+void ChildProcess::Kill() {
+  int status = 0;
+  if (!Poll() && kill(pid_, SIGKILL) == 0 &&
+      waitpid(pid_, &status, 0) == pid_) {
+    end_status_ = status;
+  }
+}
+
 std::optional<int> ChildProcess::Poll() {
   int status = 0;
   if (!end_status_ && waitpid(pid_, &status, WNOHANG) == pid_) {
--- a/bench/live/child_process.h
+++ b/bench/live/child_process.h
@@ -40,6 +40,8 @@
   Usage ReadUsage() const;
   /// Sends a signal; nothing when the process has ended.
   void Signal(int signal);
+  /// Ends the process with SIGKILL and waits for its end.
+  void Kill();
   /// The status that waitpid(2) gave, once the process has ended.
   std::optional<int> Poll();
 
--- a/soak/instance.cc
+++ b/soak/instance.cc
@@ -75,7 +75,7 @@
     Watch();
   }
   if (process_) {
-    process_->Signal(SIGKILL);
+    process_->Kill();
     process_.reset();
   }
 }
@@ -117,7 +117,7 @@
     if (stop_asked_ && !was_paused_ &&
         MonotonicClock::now() - *stop_asked_ > kGrace) {
       observer_.Report("grace", fmt::format("{} outlives its grace", name_));
-      process_->Signal(SIGKILL);
+      process_->Kill();
       process_.reset();
     }
     return;
--- a/soak/upstream.cc
+++ b/soak/upstream.cc
@@ -110,6 +110,8 @@
     std::string target;
     OrderStamp stamp;
     json::object body;
+    /// Carried out after a delay; its sender may know better by then.
+    bool late = false;
   };
 
   /// A listing that waits for an end.
@@ -287,7 +289,8 @@
   call.stamp.fencing_token = static_cast<uint64_t>(
       platform::FindInteger(*body, "fencing-token").value_or(0));
   call.body = *std::move(body);
-  if (!late_ || !random_.Chance(kLateShare)) {
+  call.late = late_ && random_.Chance(kLateShare);
+  if (!call.late) {
     CarryOut(call, respond);
     return;
   }
@@ -342,16 +345,15 @@
       runs_->Start(Now(), order, hanging_ ? kForever : LengthOf(order.spec));
   if (runs_->Running().size() > before) {
     observer_.OnStarted(settings_.name, order.run.task, before, settings_.room);
-    CheckStart(order.run);
+    if (!call.late) {
+      CheckStart(order.run);
+    }
   }
   return Answer(answer);
 }
 
 void Upstream::Impl::CheckStart(const TaskRun& run) {
   const Instant now = MonotonicClock::now();
-  if (late_) {
-    return;  // The order may be an old one.
-  }
   if (drain_taken_ && now - *drain_taken_ > kDrainTime + kDrainSlack) {
     observer_.Report("drain", fmt::format("{} starts at {}, which leaves",
                                           run.task, settings_.name));
