Log a datagram that the system does not take

InstanceNet dropped the result of the send: a host out of reach or a full buffer left no trace. It is the line that names datagrams too large, bounded like every kind of line.

--- a/filbertwick/net/instance_net.cc
+++ b/filbertwick/net/instance_net.cc
@@ -108,13 +108,12 @@
     const auto address = asio::ip::make_address(host, ec);
     std::string bytes(1, kProtocolVersion);
     bytes += wire::EncodeValue(datagram);
-    if (ec || bytes.size() > kMaxDatagramBytes) {
+    if (ec || bytes.size() > kMaxDatagramBytes ||
+        !port_->Send(Udp::endpoint(address, settings_.port), bytes)) {
       hooks_.log(LogLine("datagram_not_sent")
                      .Add("host", host)
                      .Add("bytes", static_cast<int64_t>(bytes.size())));
-      return;
     }
-    port_->Send(Udp::endpoint(address, settings_.port), bytes);
   }
 
   void Take(const Udp::endpoint& from, std::string_view bytes) {
