Restore a sidecar's upstream from the platform's store after a restart

Ruled out: the entries (configuration 8 ms after their start) and the listing that clears foreign runs (3 ms). After power_off_all the upstreams restart too and announce themselves within 80 ms: nothing to gain there.

Change: DirectSidecar emits RecordUpstreamEffect when its upstream changes; UpstreamRecord keeps one record per sidecar in the topic keyed.upstreams and writes on change only. A restarted sidecar takes the recorded upstream over (RestoreUpstream) and opens it only after a listing of the same process; one that drained, left, restarted, was replaced or does not answer is dropped.

Found on the way: a listing of a restarted upstream (same id) opened it with the profile of its predecessor, which no later announcement replaced; a smaller machine would have been overloaded. It now waits for its announcement. The new test waits_for_the_profile_of_a_restarted_upstream failed before.

--- a/filbertwick/core/direct/direct_sidecar.cc
+++ b/filbertwick/core/direct/direct_sidecar.cc
@@ -162,6 +162,10 @@
   if (!upstream_ || state_ == UpstreamState::kNoUpstream) {
     return;
   }
+  if (now >= restore_deadline_) {
+    DropRestoredUpstream("no_answer");
+    return;
+  }
   CheckCommandTimeouts(now);
   CheckListingTimeouts(now);
   CheckLease(now);
@@ -182,6 +186,7 @@
   if (!upstream_ || state_ == UpstreamState::kNoUpstream) {
     return next;
   }
+  note_due(restore_deadline_);
   for (const ActiveRun& run : run_table_.runs() | std::views::values) {
     if (run.phase == RunPhase::kStopping || run.pending_command != 0) {
       note_due(run.command_due);
@@ -263,6 +268,13 @@
   impl_->FlushEffects(now, effects);
 }
 
+void DirectSidecar::RestoreUpstream(Instant now,
+                                    const UpstreamAnnouncement& recorded,
+                                    SidecarEffects& effects) {
+  impl_->RestoreUpstream(now, recorded);
+  impl_->FlushEffects(now, effects);
+}
+
 void DirectSidecar::OnUpstreamLeft(Instant now,
                                    std::string_view id,
                                    SidecarEffects& effects) {
--- a/filbertwick/core/direct/direct_sidecar.h
+++ b/filbertwick/core/direct/direct_sidecar.h
@@ -50,6 +50,15 @@
   void OnUpstreamAnnounced(Instant now,
                            const UpstreamAnnouncement& announcement,
                            SidecarEffects& effects);
+  /// Takes over the upstream that an earlier incarnation of this sidecar
+  /// recorded, so that tasks can start before the upstream announces itself
+  /// again. Ignored when an upstream has announced itself already, or when the
+  /// recorded one was draining. The recorded upstream is used only after it has
+  /// shown in a listing that it is still the same process; it is dropped when
+  /// another one answers, or none does in time.
+  void RestoreUpstream(Instant now,
+                       const UpstreamAnnouncement& recorded,
+                       SidecarEffects& effects);
   /// The upstream `id` has shut down; its runs are lost.
   void OnUpstreamLeft(Instant now,
                       std::string_view id,
--- a/filbertwick/core/direct/direct_sidecar_impl.h
+++ b/filbertwick/core/direct/direct_sidecar_impl.h
@@ -45,6 +45,10 @@
   Instant clock_read;
   /// Highest number of a listed end.
   uint64_t last_listed_end = 0;
+  /// False when the present incarnation is known from a listing only. Its
+  /// profile is not known then: a restarted upstream may differ in kind and
+  /// capacity.
+  bool has_profile = true;
 };
 
 /// A list command without an answer so far.
@@ -65,6 +69,7 @@
   void OnMessage(Instant now, const EntryMessage& message);
   void OnUpstreamAnnounced(Instant now,
                            const UpstreamAnnouncement& announcement);
+  void RestoreUpstream(Instant now, const UpstreamAnnouncement& recorded);
   void OnUpstreamLeft(Instant now, std::string_view id);
   void OnCommandResult(Instant now,
                        uint64_t number,
@@ -101,7 +106,7 @@
  private:
   bool AcceptsTasks() const {
     return state_ == UpstreamState::kReady && placement_allowed_ &&
-           !shutting_down_ && !upstream_->draining;
+           !shutting_down_ && !upstream_->draining && upstream_->has_profile;
   }
   void NotifyAllEntries() {
     for (Session& session : sessions_.all() | std::views::values) {
@@ -125,6 +130,17 @@
 
   // The upstream.
   void BeginIncarnation(Instant now, const UpstreamAnnouncement& announcement);
+  /// Handles a listing by which the upstream shows that it has restarted.
+  void BeginUnannouncedIncarnation(Instant now,
+                                   int64_t started_unix_millis,
+                                   UpstreamMillis clock);
+  /// Emits a RecordUpstreamEffect with the present upstream.
+  void RecordUpstream();
+  /// Logs the profile of the present upstream under `event`.
+  void LogProfile(std::string_view event);
+  /// Drops a restored upstream that has not proved to be the recorded process.
+  void DropRestoredUpstream(std::string_view cause);
+  bool IsRestoreUnproved() const { return restore_deadline_ != Instant::max(); }
   /// Releases all runs and reports them as lost; call only when the upstream
   /// certainly runs none of them any more.
   void DropAllRuns(Instant now);
@@ -174,6 +190,9 @@
   bool placement_allowed_ = false;
   bool shutting_down_ = false;
   std::optional<Upstream> upstream_;
+  /// When a restored upstream is dropped unless it has proved to be the
+  /// recorded process; Instant::max() when none is unproved.
+  Instant restore_deadline_ = Instant::max();
   RunTable run_table_;
   /// Lost runs of an earlier incarnation of the upstream that delayed commands
   /// may still start in the present one. They are reported once a listing shows
--- a/filbertwick/core/direct/direct_sidecar_upstream.cc
+++ b/filbertwick/core/direct/direct_sidecar_upstream.cc
@@ -14,6 +14,9 @@
 /// Interval of listings while foreign runs are stopped; they take about as long
 /// to end.
 constexpr Duration kSyncListingInterval = std::chrono::milliseconds(20);
+/// Time within which a restored upstream must answer; longer than the interval
+/// at which a live one announces itself.
+constexpr Duration kRestoreTimeout = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -30,18 +33,79 @@
   if (!upstream_ || announcement.id != upstream_->id ||
       announcement.started_unix_millis != upstream_->started_unix_millis) {
     BeginIncarnation(now, announcement);
+    RecordUpstream();
     return;
   }
+  // An announcement proves as much as a listing.
+  restore_deadline_ = Instant::max();
   upstream_->sequence = announcement.sequence;
   RecordUpstreamClock(now, announcement.clock);
-  if (announcement.draining && !upstream_->draining) {
+  const bool begins_draining = announcement.draining && !upstream_->draining;
+  const bool changes_profile =
+      !upstream_->has_profile || upstream_->profile != announcement.profile;
+  if (begins_draining) {
     upstream_->draining = true;
     effects_.push_back(
         LogLine("upstream_draining").Add("upstream", upstream_->id));
+  }
+  if (changes_profile) {
+    upstream_->has_profile = true;
+    upstream_->profile = announcement.profile;
+    run_table_.SetCapacity(announcement.profile.capacity);
+    LogProfile("upstream_profile");
+  }
+  if (begins_draining || changes_profile) {
+    RecordUpstream();
     NotifyAllEntries();
   }
 }
 
+void DirectSidecar::Impl::RestoreUpstream(
+    Instant now,
+    const UpstreamAnnouncement& recorded) {
+  if (upstream_ || recorded.draining || recorded.started_unix_millis == 0) {
+    return;
+  }
+  UpstreamAnnouncement silent = recorded;
+  silent.sequence = 0;
+  silent.clock = 0;
+  BeginIncarnation(now, silent);
+  restore_deadline_ = now + kRestoreTimeout;
+}
+
+void DirectSidecar::Impl::DropRestoredUpstream(std::string_view cause) {
+  effects_.push_back(LogLine("recorded_upstream_dropped")
+                         .Add("upstream", upstream_->id)
+                         .Add("born", upstream_->started_unix_millis)
+                         .Add("cause", cause));
+  restore_deadline_ = Instant::max();
+  state_ = UpstreamState::kNoUpstream;
+  upstream_.reset();
+  listings_.clear();
+  pending_commands_.clear();
+}
+
+void DirectSidecar::Impl::RecordUpstream() {
+  RecordUpstreamEffect record;
+  if (state_ != UpstreamState::kNoUpstream) {
+    UpstreamAnnouncement& upstream = record.upstream.emplace();
+    upstream.id = upstream_->id;
+    upstream.started_unix_millis = upstream_->started_unix_millis;
+    upstream.draining = upstream_->draining;
+    upstream.profile = upstream_->profile;
+  }
+  effects_.emplace_back(std::move(record));
+}
+
+void DirectSidecar::Impl::LogProfile(std::string_view event) {
+  const UpstreamProfile& profile = upstream_->profile;
+  effects_.push_back(LogLine(event)
+                         .Add("upstream", upstream_->id)
+                         .Add("service", profile.service)
+                         .Add("born", upstream_->started_unix_millis)
+                         .Add("cpu_millis", profile.capacity.cpu_millis));
+}
+
 void DirectSidecar::Impl::BeginIncarnation(
     Instant now,
     const UpstreamAnnouncement& announcement) {
@@ -54,6 +118,7 @@
     ReportLostRuns(now);
   }
   ++fencing_token_;
+  restore_deadline_ = Instant::max();
   upstream_.emplace();
   upstream_->id = announcement.id;
   upstream_->started_unix_millis = announcement.started_unix_millis;
@@ -63,15 +128,26 @@
   run_table_.SetCapacity(announcement.profile.capacity);
   pending_commands_.clear();
   RecordUpstreamClock(now, announcement.clock);
-  effects_.push_back(
-      LogLine("upstream_found")
-          .Add("upstream", announcement.id)
-          .Add("service", announcement.profile.service)
-          .Add("born", announcement.started_unix_millis)
-          .Add("cpu_millis", announcement.profile.capacity.cpu_millis));
+  LogProfile("upstream_found");
   BeginSync(now);
 }
 
+void DirectSidecar::Impl::BeginUnannouncedIncarnation(
+    Instant now,
+    int64_t started_unix_millis,
+    UpstreamMillis clock) {
+  effects_.push_back(LogLine("upstream_reborn")
+                         .Add("upstream", upstream_->id)
+                         .Add("born", started_unix_millis));
+  UpstreamAnnouncement restarted;
+  restarted.id = upstream_->id;
+  restarted.started_unix_millis = started_unix_millis;
+  restarted.profile = upstream_->profile;
+  restarted.clock = clock;
+  BeginIncarnation(now, restarted);
+  upstream_->has_profile = false;
+}
+
 void DirectSidecar::Impl::OnUpstreamLeft(Instant now, std::string_view id) {
   if (!upstream_ || upstream_->id != id) {
     return;
@@ -80,8 +156,10 @@
   DropAllRuns(now);
   state_ = UpstreamState::kNoUpstream;
   upstream_->draining = true;
+  restore_deadline_ = Instant::max();
   listings_.clear();
   pending_commands_.clear();
+  RecordUpstream();
   NotifyAllEntries();
 }
 
@@ -282,19 +360,20 @@
   if (listing.started_unix_millis != 0 &&
       listing.started_unix_millis != upstream_->started_unix_millis) {
     // The upstream has restarted under the same id: the earlier runs are gone.
-    if (listing.started_unix_millis > upstream_->started_unix_millis) {
-      effects_.push_back(LogLine("upstream_reborn")
-                             .Add("upstream", upstream_->id)
-                             .Add("born", listing.started_unix_millis));
-      UpstreamAnnouncement restarted;
-      restarted.id = upstream_->id;
-      restarted.started_unix_millis = listing.started_unix_millis;
-      restarted.profile = upstream_->profile;
-      restarted.clock = clock;
-      BeginIncarnation(now, restarted);
+    if (IsRestoreUnproved()) {
+      DropRestoredUpstream("restarted");
+    } else if (listing.started_unix_millis > upstream_->started_unix_millis) {
+      BeginUnannouncedIncarnation(now, listing.started_unix_millis, clock);
     }
     return;
   }
+  if (IsRestoreUnproved()) {
+    if (listing.started_unix_millis == 0 || clock == 0) {
+      DropRestoredUpstream("listing_without_start_time");
+      return;
+    }
+    restore_deadline_ = Instant::max();
+  }
   RecordUpstreamClock(now, clock);
   for (const ListedEnd& end : listing.ended) {
     upstream_->last_listed_end =
@@ -440,6 +519,10 @@
     BeginSync(now);
     return;
   }
+  if (result == CommandResult::kOtherIncarnation && IsRestoreUnproved()) {
+    DropRestoredUpstream("replaced");
+    return;
+  }
   if (result == CommandResult::kOtherIncarnation) {
     DropAllRuns(now);
   }
--- a/filbertwick/core/direct/sidecar_effect.h
+++ b/filbertwick/core/direct/sidecar_effect.h
@@ -2,6 +2,7 @@
 #define FILBERTWICK_CORE_DIRECT_SIDECAR_EFFECT_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -27,6 +28,26 @@
   uint64_t fencing_token = 0;
 };
 
+/// An announcement of the upstream about itself.
+struct UpstreamAnnouncement {
+  /// Id of the upstream. A restarted upstream may keep it; its start time then
+  /// tells the incarnations apart.
+  std::string id;
+  int64_t started_unix_millis = 0;
+  /// Higher in every later announcement of one incarnation.
+  uint64_t sequence = 0;
+  bool draining = false;
+  UpstreamProfile profile;
+  UpstreamMillis clock = 0;
+};
+
+/// Keeps the upstream for later incarnations of this sidecar, in place of the
+/// one kept before; see DirectSidecar::RestoreUpstream(). Unset when the
+/// upstream has shut down and must not be restored.
+struct RecordUpstreamEffect {
+  std::optional<UpstreamAnnouncement> upstream;
+};
+
 /// Sends a message to an entry.
 struct SendToEntryEffect {
   InstanceName to;
@@ -60,8 +81,12 @@
 };
 
 /// All requests of a DirectSidecar to its host.
-using SidecarEffect = std::
-    variant<SendToEntryEffect, StartCommand, StopCommand, ListCommand, LogLine>;
+using SidecarEffect = std::variant<SendToEntryEffect,
+                                   StartCommand,
+                                   StopCommand,
+                                   ListCommand,
+                                   RecordUpstreamEffect,
+                                   LogLine>;
 using SidecarEffects = std::vector<SidecarEffect>;
 
 /// Result of a command to the upstream.
@@ -101,19 +126,6 @@
   int64_t started_unix_millis = 0;
 };
 
-/// An announcement of the upstream about itself.
-struct UpstreamAnnouncement {
-  /// Id of the upstream. A restarted upstream may keep it; its start time then
-  /// tells the incarnations apart.
-  std::string id;
-  int64_t started_unix_millis = 0;
-  /// Higher in every later announcement of one incarnation.
-  uint64_t sequence = 0;
-  bool draining = false;
-  UpstreamProfile profile;
-  UpstreamMillis clock = 0;
-};
-
 }  // namespace filbertwick::core::direct
 
 #endif  // FILBERTWICK_CORE_DIRECT_SIDECAR_EFFECT_H_
--- a/filbertwick/harness/direct_trial.cc
+++ b/filbertwick/harness/direct_trial.cc
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <type_traits>
 #include <utility>
@@ -31,6 +32,8 @@
 constexpr Duration kResendDelay = 1300 * kMilli;
 /// Time limit that callers give each job.
 constexpr Duration kJobTimeLimit = 2000 * kMilli;
+/// Longest time until an upstream announces itself to a restarted sidecar.
+constexpr Duration kAnnouncementInterval = 1500 * kMilli;
 /// Time between two checks of all upstreams.
 constexpr Duration kCheckInterval = 5 * kMilli;
 /// CPU that a task needs; the capacity of an upstream is enough for
@@ -41,6 +44,8 @@
 /// first token is its incarnation times this number. Tokens that start from the
 /// wall clock are much further apart between two incarnations.
 constexpr uint64_t kTokensPerIncarnation = 1000;
+/// Combined with the seed of a trial for the choices at restarts.
+constexpr uint64_t kRestartSeed = 0x5851f42d4c957f2d;
 constexpr int64_t kWallStartUnixMillis = 1'768'840'000'000;
 
 /// State of a simulated process, which can be paused or killed.
@@ -57,6 +62,7 @@
   explicit Trial(const DirectTrialSettings& settings)
       : settings_(settings),
         random_(settings.seed),
+        restart_random_(settings.seed ^ kRestartSeed),
         entries_(settings.entries),
         sidecars_(settings.sidecars) {}
 
@@ -98,6 +104,8 @@
     std::string upstream_id;
     double rate = 1;
     uint64_t announcements = 0;
+    /// The recorded upstream; kept when the sidecar restarts.
+    std::optional<direct::UpstreamAnnouncement> recorded;
     Duration wake{Duration::max()};
   };
 
@@ -157,7 +165,23 @@
     StepSidecar(n, [this, n](Instant now, direct::SidecarEffects& out) {
       sidecars_[n].core->SetPlacementAllowed(now, true, out);
     });
-    Announce(n);
+    if (!sidecar.recorded || restart_random_.Chance(0.5)) {
+      Announce(n);
+      return;
+    }
+    const uint64_t incarnation = sidecar.incarnation;
+    loop_.After(restart_random_.Between(kMilli, 10 * kMilli),
+                [this, n, incarnation] { RestoreUpstream(n, incarnation); });
+    loop_.After(restart_random_.Between(kMilli, kAnnouncementInterval),
+                [this, n] { Announce(n); });
+  }
+
+  void RestoreUpstream(uint32_t n, uint64_t incarnation) {
+    RunWhenAvailable(sidecars_[n], incarnation, [this, n] {
+      StepSidecar(n, [this, n](Instant now, direct::SidecarEffects& out) {
+        sidecars_[n].core->RestoreUpstream(now, *sidecars_[n].recorded, out);
+      });
+    });
   }
 
   void StartUpstream(uint32_t n) {
@@ -289,6 +313,10 @@
     });
   }
 
+  void HandleEffect(uint32_t n, const direct::RecordUpstreamEffect& effect) {
+    sidecars_[n].recorded = effect.upstream;
+  }
+
   void HandleEffect(uint32_t n, const LogLine& line) {
     Trace("sidecar-{} {}", n, line.Text());
   }
@@ -587,6 +615,7 @@
 
   const DirectTrialSettings settings_;
   Random random_;
+  Random restart_random_;
   EventLoop loop_;
   std::vector<Entry> entries_;
   std::vector<Sidecar> sidecars_;
--- a/filbertwick/platform/peer_service.cc
+++ b/filbertwick/platform/peer_service.cc
@@ -7,7 +7,6 @@
 
 #include "filbertwick/http/server.h"
 #include "filbertwick/net/instance_net.h"
-#include "filbertwick/platform/store_client.h"
 #include "filbertwick/platform/topic_follower.h"
 #include "filbertwick/wire/archive.h"
 
@@ -74,6 +73,7 @@
   void Reload(const PlatformSettings& settings) {
     network_->SetSeeds(settings.seeds);
   }
+  StoreClient& store() { return *store_; }
   const core::direct::ControlStreamState& control() const {
     return control_->current();
   }
@@ -231,6 +231,9 @@
 void PeerService::Reload(const PlatformSettings& settings) {
   impl_->Reload(settings);
 }
+StoreClient& PeerService::store() {
+  return impl_->store();
+}
 const core::direct::ControlStreamState& PeerService::control() const {
   return impl_->control();
 }
--- a/filbertwick/platform/peer_service.h
+++ b/filbertwick/platform/peer_service.h
@@ -10,6 +10,7 @@
 #include "filbertwick/platform/control_follower.h"
 #include "filbertwick/platform/node.h"
 #include "filbertwick/platform/platform_settings.h"
+#include "filbertwick/platform/store_client.h"
 
 namespace filbertwick::platform {
 
@@ -46,6 +47,8 @@
   void Send(const InstanceName& to, const core::direct::Datagram& datagram);
   /// Replaces the seeds by those of `settings`.
   void Reload(const PlatformSettings& settings);
+  /// Client of the platform's store; valid as long as this object.
+  StoreClient& store();
   /// The newest known state of the control stream.
   const core::direct::ControlStreamState& control() const;
 
--- a/filbertwick/platform/platform_settings.cc
+++ b/filbertwick/platform/platform_settings.cc
@@ -12,6 +12,8 @@
 
 namespace json = boost::json;
 
+constexpr int64_t kMaxStorePartitions = 100'000;
+
 /// Reads required fields of the settings and keeps the first failure.
 class Reader {
  public:
@@ -97,6 +99,17 @@
   }
 }
 
+void ReadStore(Reader& reader, PlatformSettings& settings) {
+  const json::object& store = reader.RequireObject("platform");
+  settings.store_address = reader.RequireAddress(store, "address");
+  const int64_t partitions = FindInteger(store, "parts").value_or(1);
+  if (partitions < 1 || partitions > kMaxStorePartitions) {
+    reader.Fail("parts", "must lie between 1 and 100000");
+    return;
+  }
+  settings.store_partitions = static_cast<uint32_t>(partitions);
+}
+
 }  // namespace
 
 absl::StatusOr<Address> ParseAddress(std::string_view text) {
@@ -123,8 +136,7 @@
   settings.host = reader.RequireString(*object, "ip");
   settings.zone = ZoneName(reader.RequireString(*object, "zone"));
   ReadListeners(*object, reader, settings);
-  settings.store_address =
-      reader.RequireAddress(reader.RequireObject("platform"), "address");
+  ReadStore(reader, settings);
   for (const std::string_view seed : FindStrings(*object, "seeds")) {
     if (const auto address = ParseAddress(seed); address.ok()) {
       settings.seeds.push_back(address->host);
--- a/filbertwick/platform/platform_settings.h
+++ b/filbertwick/platform/platform_settings.h
@@ -51,6 +51,8 @@
   std::vector<std::string> seeds;
   /// Address of the platform's store (`platform`.`address`).
   Address store_address;
+  /// Number of partitions of a topic in the store (`platform`.`parts`).
+  uint32_t store_partitions = 1;
   /// Time after which a caller whose connection broke submits its job again
   /// (`bounds`.`resend-ms`).
   Duration resend_after = std::chrono::milliseconds(1300);
--- a/filbertwick/platform/sidecar_node.cc
+++ b/filbertwick/platform/sidecar_node.cc
@@ -14,6 +14,7 @@
 #include "filbertwick/platform/peer_service.h"
 #include "filbertwick/platform/start_node.h"
 #include "filbertwick/platform/upstream_codec.h"
+#include "filbertwick/platform/upstream_record.h"
 
 namespace filbertwick::platform {
 namespace {
@@ -21,11 +22,13 @@
 using core::direct::CommandResult;
 using core::direct::DirectSidecar;
 using core::direct::ListCommand;
+using core::direct::RecordUpstreamEffect;
 using core::direct::SendToEntryEffect;
 using core::direct::SidecarEffect;
 using core::direct::SidecarEffects;
 using core::direct::StartCommand;
 using core::direct::StopCommand;
+using core::direct::UpstreamAnnouncement;
 
 /// Timeout of a start or stop, and time added to the wait of a list request.
 /// Longer than the core's own timeouts: the core gives up first, and a slow
@@ -81,6 +84,11 @@
       return peer_service.status();
     }
     peer_service_ = *std::move(peer_service);
+    record_ = UpstreamRecord::Create(
+        context_.io, peer_service_->store(), settings_.store_partitions,
+        settings_.name,
+        {[this](const UpstreamAnnouncement& it) { OnUpstreamLoaded(it); },
+         context_.log});
     http::ServerSettings http;
     http.host = settings_.announcement_listener.host;
     http.port = settings_.announcement_listener.port;
@@ -145,6 +153,10 @@
                     });
   }
 
+  void Perform(const RecordUpstreamEffect& effect) {
+    record_->Save(effect.upstream);
+  }
+
   void CallUpstream(http::Request request, uint64_t number) {
     upstream_->Call(std::move(request), kCallTimeoutMargin,
                     [this, number](const http::CallResult& result) {
@@ -199,7 +211,17 @@
     return http::JsonResponse(200, "{}");
   }
 
-  void OnAnnouncement(const core::direct::UpstreamAnnouncement& announcement) {
+  void OnUpstreamLoaded(const UpstreamAnnouncement& recorded) {
+    if (upstream_service_.empty()) {
+      upstream_service_ = recorded.profile.service;
+    }
+    runner_.Run([&](Instant now, SidecarEffects& out) {
+      core().RestoreUpstream(now, recorded, out);
+      core().SetPlacementAllowed(now, IsPlacementAllowed(), out);
+    });
+  }
+
+  void OnAnnouncement(const UpstreamAnnouncement& announcement) {
     if (announcement.started_unix_millis >= upstream_started_unix_millis_) {
       upstream_started_unix_millis_ = announcement.started_unix_millis;
       upstream_service_ = announcement.profile.service;
@@ -232,9 +254,11 @@
   DrainMonitor drain_;
   /// Start time of the newest upstream process that was announced.
   int64_t upstream_started_unix_millis_ = 0;
-  /// Service of that upstream; empty before the first announcement.
+  /// Service of that upstream, or of the recorded one before the first
+  /// announcement; empty when none is known.
   std::string upstream_service_;
   std::unique_ptr<PeerService> peer_service_;
+  std::unique_ptr<UpstreamRecord> record_;
   std::unique_ptr<http::Client> upstream_;
   std::unique_ptr<http::Server> announcement_server_;
 };
--- a/filbertwick/platform/store_client.cc
+++ b/filbertwick/platform/store_client.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <sodium.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/endian/conversion.hpp>
 #include <utility>
@@ -37,6 +38,12 @@
   return bytes;
 }
 
+std::string FormatTarget(std::string_view call,
+                         const TopicPartition& partition) {
+  return fmt::format("/api/{}?topic={}&part={}", call, partition.topic,
+                     partition.number);
+}
+
 /// OK for a response with status 200, otherwise the cause of the failure.
 absl::Status ToStatus(const http::CallResult& result) {
   if (!result.response.ok()) {
@@ -154,10 +161,10 @@
       new StoreClient(std::make_unique<Impl>(context, address)));
 }
 
-void StoreClient::ReadNewest(std::string_view topic,
+void StoreClient::ReadNewest(const TopicPartition& partition,
                              std::string_view after,
                              NewestHook done) {
-  std::string target = fmt::format("/api/log-newest?topic={}&part=0", topic);
+  std::string target = FormatTarget("log-newest", partition);
   if (!after.empty()) {
     target += fmt::format("&after={}", after);
   }
@@ -171,32 +178,51 @@
               });
 }
 
-void StoreClient::Read(std::string_view topic,
+void StoreClient::ReadValue(const TopicPartition& partition,
+                            std::string_view key,
+                            ValueHook done) {
+  // Keys are listed in order. The key without its last character precedes it.
+  ReadNewest(
+      partition, key.substr(0, key.size() - 1),
+      [key = std::string(key),
+       done = std::move(done)](absl::StatusOr<NewestPage> page) {
+        if (!page.ok()) {
+          done(page.status());
+          return;
+        }
+        const auto it =
+            std::ranges::find(page->records, key, &StoreRecord::key);
+        done(it != page->records.end() ? std::move(it->value) : std::nullopt);
+      });
+}
+
+void StoreClient::Read(const TopicPartition& partition,
                        uint64_t from,
                        Duration wait,
                        ReadHook done) {
   const auto millis =
       std::chrono::duration_cast<std::chrono::milliseconds>(wait);
-  impl_->Call("GET",
-              fmt::format("/api/log-read?topic={}&part=0&from={}&wait-ms={}",
-                          topic, from, millis.count()),
-              "", wait + kCallTimeout,
-              [from, done = std::move(done)](const http::CallResult& result) {
-                if (result.response.ok() && result.response->status == 410) {
-                  StoreBatch batch;
-                  batch.position_lost = true;
-                  done(std::move(batch));
-                  return;
-                }
-                if (absl::Status status = ToStatus(result); !status.ok()) {
-                  done(std::move(status));
-                  return;
-                }
-                done(ParseBatch(result.response->body, from));
-              });
+  impl_->Call(
+      "GET",
+      fmt::format("{}&from={}&wait-ms={}", FormatTarget("log-read", partition),
+                  from, millis.count()),
+      "", wait + kCallTimeout,
+      [from, done = std::move(done)](const http::CallResult& result) {
+        if (result.response.ok() && result.response->status == 410) {
+          StoreBatch batch;
+          batch.position_lost = true;
+          done(std::move(batch));
+          return;
+        }
+        if (absl::Status status = ToStatus(result); !status.ok()) {
+          done(std::move(status));
+          return;
+        }
+        done(ParseBatch(result.response->body, from));
+      });
 }
 
-void StoreClient::Append(std::string_view topic,
+void StoreClient::Append(const TopicPartition& partition,
                          std::string_view key,
                          std::string_view value,
                          AppendHook done) {
@@ -207,8 +233,8 @@
   body.push_back(static_cast<char>(key.size()));
   body += key;
   body += value;
-  impl_->Call("POST", fmt::format("/api/log-append?topic={}&part=0", topic),
-              std::move(body), kCallTimeout,
+  impl_->Call("POST", FormatTarget("log-append", partition), std::move(body),
+              kCallTimeout,
               [done = std::move(done)](const http::CallResult& result) {
                 done(ToStatus(result));
               });
--- a/filbertwick/platform/store_client.h
+++ b/filbertwick/platform/store_client.h
@@ -47,12 +47,27 @@
   bool position_lost = false;
 };
 
-/// Client of the platform's store for keyed topics, always partition 0. A
-/// failed call is reported to its hook and not retried. Not thread-safe: calls
-/// and hooks run on the context's thread.
+/// A partition of a keyed topic. Converts from the name of a topic that has one
+/// partition.
+struct TopicPartition {
+  TopicPartition(std::string_view topic_name, uint32_t partition = 0)
+      : topic(topic_name), number(partition) {}
+  TopicPartition(const char* topic_name) : topic(topic_name) {}
+  TopicPartition(const std::string& topic_name) : topic(topic_name) {}
+
+  std::string_view topic;
+  uint32_t number = 0;
+};
+
+/// Client of the platform's store for keyed topics. A failed call is reported
+/// to its hook and not retried. Not thread-safe: calls and hooks run on the
+/// context's thread.
 class StoreClient {
  public:
   using NewestHook = std::function<void(absl::StatusOr<NewestPage>)>;
+  /// Receives the newest value of a key, nullopt when the key has none.
+  using ValueHook =
+      std::function<void(absl::StatusOr<std::optional<std::string>>)>;
   using ReadHook = std::function<void(absl::StatusOr<StoreBatch>)>;
   using AppendHook = std::function<void(absl::Status)>;
 
@@ -62,16 +77,21 @@
 
   /// Reads one page of the newest records. `after` is the last key of the
   /// previous page, empty for the first page.
-  void ReadNewest(std::string_view topic,
+  void ReadNewest(const TopicPartition& partition,
                   std::string_view after,
                   NewestHook done);
+  /// Reads the newest value of one key, which must not be empty.
+  void ReadValue(const TopicPartition& partition,
+                 std::string_view key,
+                 ValueHook done);
   /// Reads from the offset `from`; waits up to `wait` for the first record.
-  void Read(std::string_view topic,
+  void Read(const TopicPartition& partition,
             uint64_t from,
             Duration wait,
             ReadHook done);
-  /// Appends one record. A failed append may have been written nevertheless.
-  void Append(std::string_view topic,
+  /// Appends one record; without a value it deletes the key. A failed append
+  /// may have been written nevertheless.
+  void Append(const TopicPartition& partition,
               std::string_view key,
               std::string_view value,
               AppendHook done);
--- a/filbertwick/standin/platform_store.cc
+++ b/filbertwick/standin/platform_store.cc
@@ -23,7 +23,7 @@
   std::string value;
 };
 
-/// The log of one topic.
+/// The log of one partition of a topic.
 struct Topic {
   std::vector<Record> records;
   /// The newest record of each key that has not been deleted.
@@ -52,6 +52,11 @@
   return text;
 }
 
+/// Returns the name under which the log of a partition is kept.
+std::string PartitionName(std::string_view topic, uint64_t part) {
+  return part == 0 ? std::string(topic) : fmt::format("{}/{}", topic, part);
+}
+
 http::Response EmptyResponse(int status) {
   http::Response response;
   response.status = status;
@@ -115,7 +120,9 @@
 
   void Handle(const http::Request& request, const http::Responder& respond) {
     const auto target = http::Target::Parse(request.target);
-    const std::string topic(target.Find("topic").value_or(""));
+    const std::string topic =
+        PartitionName(target.Find("topic").value_or(""),
+                      target.FindNumber("part").value_or(0));
     const std::string_view call =
         target.segments().empty() ? "" : target.segments().back();
     if (down_) {
@@ -123,7 +130,7 @@
     } else if (call == "log-append") {
       respond(Append(topic, request.body));
     } else if (call == "log-newest") {
-      respond(Newest(topic));
+      respond(Newest(topic, target.Find("after").value_or("")));
     } else if (call == "log-read") {
       Read(topic, target.FindNumber("from").value_or(0),
            target.FindNumber("wait-ms").value_or(0), respond);
@@ -156,10 +163,14 @@
     return response;
   }
 
-  http::Response Newest(const std::string& topic) {
+  /// Returns the newest records of the keys after `after`.
+  http::Response Newest(const std::string& topic, std::string_view after) {
     const Topic& log = topics_[topic];
     std::string items;
     for (const auto& [key, record] : log.newest) {
+      if (key <= after) {
+        continue;
+      }
       items += fmt::format(
           "{}{{\"key\":\"{}\",\"value\":\"{}\",\"offset\":{}}}",
           items.empty() ? "" : ",", key, Base64(record.value), record.offset);
--- a/unit_tests/direct_sidecar_test.cc
+++ b/unit_tests/direct_sidecar_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -61,6 +62,9 @@
         starts.push_back(*start);
       } else if (const auto* stop = std::get_if<StopCommand>(&effect)) {
         stops.push_back(*stop);
+      } else if (const auto* record =
+                     std::get_if<RecordUpstreamEffect>(&effect)) {
+        recorded = record->upstream;
       } else if (const auto* send = std::get_if<SendToEntryEffect>(&effect)) {
         last_message = send->message;
         std::ranges::copy(send->message.ends, std::back_inserter(ends));
@@ -68,6 +72,24 @@
     }
   }
 
+  /// Replaces the sidecar by a new incarnation, which restores the recorded
+  /// upstream.
+  void RestartAndRestore() {
+    cr_assert(recorded);
+    sidecar = DirectSidecar::Create({InstanceName("sidecar"), 1}, 20, {});
+    sidecar->SetPlacementAllowed(now, true, ClearedEffects());
+    lists.clear();
+    sidecar->RestoreUpstream(now, *recorded, ClearedEffects());
+    Collect();
+  }
+
+  /// Returns a listing without runs of the upstream that started at this time.
+  static Listing EmptyListing(int64_t started_unix_millis) {
+    Listing listing;
+    listing.started_unix_millis = started_unix_millis;
+    return listing;
+  }
+
   void AnswerListings(const Listing& listing) {
     for (const ListCommand& command : std::exchange(lists, {})) {
       sidecar->OnListing(now, command.header.number, listing, 1000,
@@ -127,6 +149,8 @@
   std::vector<StopCommand> stops;
   std::vector<RunEnd> ends;
   SidecarMessage last_message;
+  /// The newest recorded upstream; kept when the sidecar restarts.
+  std::optional<UpstreamAnnouncement> recorded;
   size_t accepted = 0;
   uint64_t last_offer = 0;
 };
@@ -326,3 +350,110 @@
   cr_assert(std::ranges::none_of(
       it.ends, [](const RunEnd& end) { return end.run.task == "a"; }));
 }
+
+// A restarted sidecar uses its upstream before the next announcement, which may
+// be more than a second away.
+Test(direct_sidecar, restores_the_recorded_upstream_after_a_restart) {
+  Fixture fixture;
+  fixture.RestartAndRestore();
+  cr_assert_eq(fixture.Offer({"a"}), OneRefusal(Refusal::kNotAccepting));
+  cr_assert_eq(fixture.lists.size(), 1);
+  cr_assert_eq(fixture.lists.front().header.upstream, "up-1");
+  fixture.AnswerListings(Fixture::EmptyListing(5));
+  cr_assert_eq(fixture.Offer({"b"}), OneRefusal(Refusal::kNone));
+  cr_assert_eq(fixture.starts.size(), 1);
+}
+
+Test(direct_sidecar, stops_the_runs_that_a_restored_upstream_has) {
+  Fixture fixture;
+  fixture.RestartAndRestore();
+  Listing listing = Fixture::EmptyListing(5);
+  listing.running.push_back({{"left", 3}, 10});
+  fixture.AnswerListings(listing);
+  cr_assert_eq(fixture.Offer({"a"}), OneRefusal(Refusal::kNotAccepting));
+  cr_assert_eq(fixture.stops.size(), 1);
+  cr_assert_eq(fixture.stops.front().run.task, "left");
+}
+
+Test(direct_sidecar, does_not_use_a_recorded_upstream_that_has_restarted) {
+  Fixture fixture;
+  fixture.RestartAndRestore();
+  fixture.AnswerListings(Fixture::EmptyListing(6));
+  cr_assert_eq(fixture.Offer({"a"}), OneRefusal(Refusal::kNotAccepting));
+  fixture.Announce("up-1", 6, 1, false);
+  fixture.AnswerListings(Fixture::EmptyListing(6));
+  cr_assert_eq(fixture.Offer({"b"}), OneRefusal(Refusal::kNone));
+}
+
+Test(direct_sidecar, does_not_use_a_recorded_upstream_that_was_replaced) {
+  Fixture fixture;
+  fixture.RestartAndRestore();
+  fixture.sidecar->OnListingFailed(
+      fixture.now, fixture.lists.front().header.number,
+      CommandResult::kOtherIncarnation, fixture.ClearedEffects());
+  fixture.Collect();
+  cr_assert_eq(fixture.Offer({"a"}), OneRefusal(Refusal::kNotAccepting));
+  // Nothing is sent to the upstream that is gone.
+  fixture.lists.clear();
+  fixture.AdvanceTime(std::chrono::seconds(1));
+  cr_assert(fixture.lists.empty());
+}
+
+Test(direct_sidecar, drops_a_recorded_upstream_that_does_not_answer) {
+  Fixture fixture;
+  fixture.RestartAndRestore();
+  for (int n = 0; n < 300; ++n) {
+    fixture.AdvanceTime(10 * kMilli);
+  }
+  fixture.lists.clear();
+  fixture.AdvanceTime(std::chrono::seconds(10));
+  cr_assert(fixture.lists.empty());
+  fixture.Announce("up-2", 7, 1, false);
+  fixture.AnswerListings(Fixture::EmptyListing(7));
+  cr_assert_eq(fixture.Offer({"a"}), OneRefusal(Refusal::kNone));
+}
+
+Test(direct_sidecar, does_not_restore_an_upstream_that_drained_or_left) {
+  Fixture fixture;
+  fixture.Announce("up-1", 5, 2, true);
+  cr_assert(fixture.recorded->draining);
+  fixture.RestartAndRestore();
+  cr_assert(fixture.lists.empty());
+
+  Fixture other;
+  other.sidecar->OnUpstreamLeft(other.now, "up-1", other.ClearedEffects());
+  other.Collect();
+  cr_assert(!other.recorded);
+}
+
+Test(direct_sidecar, keeps_an_announced_upstream_when_the_record_comes_late) {
+  Fixture fixture;
+  const UpstreamAnnouncement old = *fixture.recorded;
+  fixture.Announce("up-2", 8, 1, false);
+  fixture.AnswerListings(Fixture::EmptyListing(8));
+  fixture.sidecar->RestoreUpstream(fixture.now, old, fixture.ClearedEffects());
+  fixture.Collect();
+  cr_assert_eq(fixture.Offer({"a"}), OneRefusal(Refusal::kNone));
+  cr_assert_eq(fixture.starts.front().header.upstream, "up-2");
+}
+
+// A listing shows that the upstream has restarted, but not as what: its kind
+// and its capacity may differ.
+Test(direct_sidecar, waits_for_the_profile_of_a_restarted_upstream) {
+  Fixture fixture;
+  cr_assert_eq(fixture.Offer({"a"}), OneRefusal(Refusal::kNone));
+  fixture.AcceptStarts();
+  fixture.AdvanceTime(40 * kMilli);
+  fixture.AnswerListings(Fixture::EmptyListing(6));
+  fixture.AnswerListings(Fixture::EmptyListing(6));
+  cr_assert_eq(fixture.Offer({"b"}), OneRefusal(Refusal::kNotAccepting));
+  UpstreamAnnouncement smaller = *fixture.recorded;
+  smaller.started_unix_millis = 6;
+  smaller.sequence = 1;
+  smaller.profile.capacity = {kTaskCpu, 1000, 0};
+  fixture.sidecar->OnUpstreamAnnounced(fixture.now, smaller,
+                                       fixture.ClearedEffects());
+  fixture.Collect();
+  const std::vector<Refusal> expected = {Refusal::kNone, Refusal::kNoCapacity};
+  cr_assert_eq(fixture.Offer({"c", "d"}), expected);
+}
