Keep replies, ends and run numbers of resent jobs apart

HandleEnd() erased ended tasks from an open offer, so that the refusals of its reply, matched by position, went to the wrong tasks: a refused task counted as running, a running one could be placed again. A resent job started from the wall clock in tenths of a second and could reuse the run numbers of its first instance at the same entry; a job that waited for capacity used up a number with every placement pass, so that the resent job got lower ones at another entry, which its upstream rejects.

--- a/filbertwick/core/direct/direct_entry.cc
+++ b/filbertwick/core/direct/direct_entry.cc
@@ -37,7 +37,8 @@
   job.arrived = now;
   job.deadline = now + spec.time_limit;
   job.place_by = now + MaxWait(spec);
-  job.next_run_number = FirstRunNumber(wall);
+  job.next_run_number =
+      recent_run_numbers_.AtLeast(spec.id, FirstRunNumber(wall));
   for (size_t step = 0; step < spec.steps.size(); ++step) {
     for (size_t index = 0; index < spec.steps[step].count; ++index) {
       JobTask task;
@@ -167,6 +168,7 @@
       StopRun(now, sidecars_.at(task.sidecar), {task.name, task.run});
     }
   }
+  recent_run_numbers_.Record(now, job.spec.id, job.next_run_number);
   wait_queue_.Remove(job.number);
   deadlines_.erase({job.deadline, job.number});
   jobs_.Remove(job.number);
--- a/filbertwick/core/direct/direct_entry_impl.h
+++ b/filbertwick/core/direct/direct_entry_impl.h
@@ -13,6 +13,7 @@
 
 #include "filbertwick/core/direct/direct_entry.h"
 #include "filbertwick/core/direct/direct_job_table.h"
+#include "filbertwick/core/direct/recent_run_numbers.h"
 #include "filbertwick/core/direct/sidecar_view.h"
 #include "filbertwick/core/policy/retry_after_estimator.h"
 #include "filbertwick/core/policy/task_placement.h"
@@ -128,6 +129,7 @@
   /// one per run. When the caller resends such a job, its tasks have the same
   /// names and are not placed as long as their names are here.
   std::multiset<std::string> stopping_tasks_;
+  RecentRunNumbers recent_run_numbers_;
   std::set<ZoneName> zones_out_;
   ControlPosition control_;
   uint64_t last_job_number_ = 0;
--- a/filbertwick/core/direct/direct_entry_log.cc
+++ b/filbertwick/core/direct/direct_entry_log.cc
@@ -57,9 +57,6 @@
     const DirectJob& job,
     size_t tasks,
     const std::map<InstanceName, Offer>& offers) {
-  if (offers.empty()) {
-    return;
-  }
   Duration oldest{0};
   for (const InstanceName& name : offers | std::views::keys) {
     oldest = std::max(oldest, now - sidecars_.at(name).last_heard);
--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -88,6 +88,9 @@
                                    DirectJob& job,
                                    std::span<const size_t> tasks,
                                    std::span<SidecarView* const> places) {
+  if (tasks.empty()) {
+    return;
+  }
   // Ordered by name, so that the order of messages is deterministic.
   std::map<InstanceName, Offer> offers;
   for (size_t n = 0; n < tasks.size(); ++n) {
@@ -110,7 +113,7 @@
     offer.id = id;
     offer.spec = job.spec.spec;
     offer.service = job.spec.service;
-    view.offers[id] = {std::move(offer), now};
+    view.offers[id] = {std::move(offer), {}, now};
     view.send_due = true;
   }
 }
@@ -160,7 +163,9 @@
   view.free = message.free;
   for (const OpenOffer& open : view.offers | std::views::values) {
     for (const OfferedTask& task : open.offer.tasks) {
-      view.free -= task.needs;
+      if (!open.ended.contains(task.run)) {
+        view.free -= task.needs;
+      }
     }
   }
   if (view.accepts_tasks) {
@@ -195,10 +200,13 @@
   if (it == view.offers.end()) {
     return;
   }
-  const Offer offer = std::move(it->second.offer);
+  const OpenOffer open = std::move(it->second);
   view.offers.erase(it);
-  for (size_t n = 0; n < offer.tasks.size(); ++n) {
-    const TaskRun& run = offer.tasks[n].run;
+  for (size_t n = 0; n < open.offer.tasks.size(); ++n) {
+    const TaskRun& run = open.offer.tasks[n].run;
+    if (open.ended.contains(run)) {
+      continue;
+    }
     const Refusal refusal =
         n < reply.refusals.size() ? reply.refusals[n] : Refusal::kNotAccepting;
     if (refusal != Refusal::kNone) {
@@ -254,8 +262,11 @@
   placement_due_ |= RemoveStop(view, end.run);
   // The end may arrive before the reply to the offer.
   for (OpenOffer& open : view.offers | std::views::values) {
-    std::erase_if(open.offer.tasks,
-                  [&](const OfferedTask& task) { return task.run == end.run; });
+    if (std::ranges::any_of(open.offer.tasks, [&](const OfferedTask& task) {
+          return task.run == end.run;
+        })) {
+      open.ended.insert(end.run);
+    }
   }
   const auto ref = jobs_.FindRun(end.run);
   if (!ref) {
--- a/filbertwick/core/direct/sidecar_view.cc
+++ b/filbertwick/core/direct/sidecar_view.cc
@@ -28,8 +28,11 @@
   std::set<TaskRun> all = std::exchange(unconfirmed_runs, {});
   all.merge(std::exchange(runs, {}));
   for (const OpenOffer& open : std::exchange(offers, {}) | std::views::values) {
-    std::ranges::transform(open.offer.tasks, std::inserter(all, all.end()),
-                           &OfferedTask::run);
+    for (const OfferedTask& task : open.offer.tasks) {
+      if (!open.ended.contains(task.run)) {
+        all.insert(task.run);
+      }
+    }
   }
   std::ranges::copy(stops | std::views::keys, std::inserter(all, all.end()));
   return all;
--- a/filbertwick/core/direct/sidecar_view.h
+++ b/filbertwick/core/direct/sidecar_view.h
@@ -14,6 +14,9 @@
 /// An offer without a reply so far.
 struct OpenOffer {
   Offer offer;
+  /// Runs of the offer that have ended. They stay in `offer`, whose order of
+  /// tasks is that of the reply.
+  std::set<TaskRun> ended;
   /// When the offer is resent.
   Instant resend_due;
 };
--- a/unit_tests/direct_entry_test.cc
+++ b/unit_tests/direct_entry_test.cc
@@ -310,3 +310,78 @@
   it.EndRun(sidecar, run, EndKind::kDone);
   cr_assert_eq(it.answers.front().outcome, JobOutcome::kCompleted);
 }
+
+// A job of two tasks goes to one sidecar, which takes the first task only. The
+// end of that task arrives before the reply to the offer.
+Test(direct_entry, matches_a_reply_to_its_tasks_after_one_has_ended) {
+  Fixture it;
+  it.SendFromSidecar(0, {}, {}, 0);
+  it.Submit(it.Job("j", 2));
+  cr_assert_eq(it.offers.size(), 1);
+  const auto [n, offer] = it.offers.front();
+  cr_assert_eq(n, 1);
+  it.offers.clear();
+  it.EndRun(1, offer.tasks[0].run, EndKind::kDone);
+  it.offers.clear();
+  it.SendFromSidecar(1, {{offer.id, {Refusal::kNone, Refusal::kNoCapacity}}},
+                     {});
+  cr_assert_eq(it.offers.size(), 1);
+  cr_assert_eq(it.offers.front().second.tasks.front().run.task,
+               offer.tasks[1].run.task);
+}
+
+// The caller of a job disconnects and sends the job again at once. The reply to
+// the first offer arrives after the new one was accepted elsewhere.
+Test(direct_entry, ignores_late_replies_about_an_earlier_instance_of_a_job) {
+  Fixture it;
+  it.SendFromSidecar(1, {}, {}, 0);
+  it.Submit(it.Job("j", 1));
+  const auto [first, old_offer] = it.offers.front();
+  cr_assert_eq(first, 0);
+  EntryEffects effects;
+  it.entry->OnCallerGone(it.now, 1, effects);
+  it.Collect(effects);
+  // The stop has overtaken the offer.
+  it.offers.clear();
+  it.SendFromSidecar(
+      0, {},
+      {{++it.last_end[0], old_offer.tasks[0].run, EndKind::kNotStarted, 0}}, 0);
+  it.SendFromSidecar(1, {}, {});
+  it.Submit(it.Job("j", 1));
+  const auto runs = it.AcceptOffers();
+  cr_assert_eq(runs.size(), 1);
+  cr_assert_eq(runs.front().first, 1);
+  it.SendFromSidecar(0, {{old_offer.id, {Refusal::kStopped}}}, {});
+  cr_assert(it.offers.empty());
+}
+
+Test(direct_entry, numbers_the_runs_of_a_resent_job_after_the_earlier_ones) {
+  Fixture it;
+  it.Submit(it.Job("j", 1));
+  const auto [n, run] = it.AcceptOffers().front();
+  EntryEffects effects;
+  it.entry->OnCallerGone(it.now, 1, effects);
+  it.Collect(effects);
+  it.EndRun(n, run, EndKind::kStopped);
+  it.Submit(it.Job("j", 1));
+  const auto resent = it.AcceptOffers();
+  cr_assert_eq(resent.size(), 1);
+  cr_assert_eq(resent.front().second.task, run.task);
+  cr_assert_gt(resent.front().second.run, run.run);
+}
+
+// A job that waits for capacity must not use up run numbers: a resent job
+// starts from the wall clock and would get lower ones at another entry.
+Test(direct_entry, uses_no_run_numbers_while_nothing_is_placed) {
+  Fixture it;
+  it.Submit(it.Job("j", 5));
+  const auto runs = it.AcceptOffers(0);
+  cr_assert_eq(runs.size(), 4);
+  for (int n = 0; n < 50; ++n) {
+    it.SendFromSidecar(0, {}, {}, 0);
+  }
+  it.SendFromSidecar(0, {}, {}, 1);
+  const auto last = it.AcceptOffers();
+  cr_assert_eq(last.size(), 1);
+  cr_assert_eq(last.front().second.run, runs.front().second.run + 1);
+}
