Do not handle a request whose connection was reset before it was read

A caller whose request was not read before the reset sends it again at once, so both entries started its tasks; a stop takes up to 50 ms.

Change: the server looks at the connection once more between reading a request and handling it. A reset that comes later still stops the job, as before; then the caller waits before it sends the job again.

Test: does_not_handle_a_request_whose_connection_was_reset failed before.

--- a/filbertwick/http/server.cc
+++ b/filbertwick/http/server.cc
@@ -224,6 +224,9 @@
   /// that of the request and answers `Expect: 100-continue`.
   void ProcessHeaderIfComplete();
   void CallHandler();
+  /// Returns true if the client has reset the connection. A complete request
+  /// may still be read from a connection after its reset.
+  bool IsReset();
   void SendResponse(Response response);
   /// Writes the response from byte `written` on, waiting whenever the socket
   /// buffer is full.
@@ -364,7 +367,20 @@
   }
 }
 
+bool Server::Impl::Connection::IsReset() {
+  char byte = 0;
+  ErrorCode ec;
+  socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, ec);
+  return ec && ec != asio::error::would_block && ec != asio::error::eof;
+}
+
 void Server::Impl::Connection::CallHandler() {
+  // A client may send the request again at once after a reset, so the request
+  // must not be handled here as well.
+  if (IsReset()) {
+    Close();
+    return;
+  }
   state_ = State::kHandling;
   request_number_ = ++owner_.last_request_number_;
   keep_alive_ = parser_->get().keep_alive();
--- a/unit_tests/http_fixture.h
+++ b/unit_tests/http_fixture.h
@@ -88,6 +88,12 @@
 
   void Close() { socket_.close(ec_); }
 
+  /// Closes with a reset, which overtakes nothing that was sent before.
+  void Reset() {
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ec_);
+    socket_.close(ec_);
+  }
+
  private:
   boost::asio::io_context context_;
   boost::asio::ip::tcp::socket socket_;
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -185,6 +185,25 @@
   saved_responder({});
 }
 
+// The request and the reset arrive while the server is busy, so that it reads
+// the request only after the reset.
+Test(http_server, does_not_handle_a_request_whose_connection_was_reset) {
+  std::atomic<int> handled = 0;
+  EchoServer test({}, [&](Request request, const Responder& respond) {
+    ++handled;
+    Echo(std::move(request), respond);
+  });
+  RawConnection raw(test.port());
+  raw.Send(kValidRequest);
+  cr_assert(StartsWithStatus(raw.Read(13), 200));
+  test.loop.Run([&] {
+    raw.Send(kValidRequest);
+    raw.Reset();
+  });
+  cr_assert(test.AnswersRequests());
+  cr_assert_eq(handled, 2);
+}
+
 Test(http_server, response_may_come_later_from_another_thread) {
   std::vector<std::thread> threads;
   EchoServer server({}, [&](Request request, Responder respond) {
