Hold requests that arrive before the first configuration

With the store away it came from a peer after 200 ms only.

Change: EarlyRequests holds up to 256 requests for up to 300 ms; time limit and target count from the arrival.

--- a/filbertwick/platform/control_follower.cc
+++ b/filbertwick/platform/control_follower.cc
@@ -27,6 +27,9 @@
 /// Time for which other instances must stay ahead before a snapshot is fetched.
 /// In most cases the read from the store delivers the same records before then.
 constexpr Duration kFetchDelay = std::chrono::milliseconds(200);
+/// The same before the first read from the store has succeeded: callers may
+/// wait for the configuration.
+constexpr Duration kFirstFetchDelay = std::chrono::milliseconds(20);
 constexpr Duration kFetchTimeout = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -72,7 +75,9 @@
     if (!behind_since_) {
       behind_since_ = now;
     }
-    if (now - *behind_since_ >= kFetchDelay && !fetching_) {
+    const Duration delay =
+        control_.position().offset == 0 ? kFirstFetchDelay : kFetchDelay;
+    if (now - *behind_since_ >= delay && !fetching_) {
       FetchSnapshot(host);
     }
   }
--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -13,6 +13,7 @@
 #include "filbertwick/http/target.h"
 #include "filbertwick/platform/core_runner.h"
 #include "filbertwick/platform/drain_monitor.h"
+#include "filbertwick/platform/early_requests.h"
 #include "filbertwick/platform/job_codec.h"
 #include "filbertwick/platform/node.h"
 #include "filbertwick/platform/peer_service.h"
@@ -49,6 +50,12 @@
 /// multiple of its target latency. A later answer is of no use to the caller.
 constexpr int kDefaultTimeLimitFactor = 3;
 constexpr int kMinErrorStatus = 400;
+/// Longest time for which a request waits for the first configuration. The
+/// store or another instance delivers it within some milliseconds, unless the
+/// store is slow or away.
+constexpr Duration kMaxConfigurationWait = std::chrono::milliseconds(300);
+/// Limit of the requests that wait for it; they are held in memory.
+constexpr size_t kMaxEarlyRequests = 256;
 /// Retry-After for requests that this entry can't serve at present: it has no
 /// configuration, or the job needs an unsupported feature.
 constexpr std::chrono::seconds kShortRetryAfter{1};
@@ -117,6 +124,11 @@
                 [this](EntryEffect& effect) {
                   std::visit([this](auto& it) { this->Perform(it); }, effect);
                 }),
+        early_requests_(
+            context_.io,
+            kMaxConfigurationWait,
+            kMaxEarlyRequests,
+            [this](const EarlyRequest& early) { RefuseEarly(early); }),
         drain_(
             context_.io,
             settings.stop_grace,
@@ -235,6 +247,7 @@
   }
 
   void OnCallerDisconnected(uint64_t request) {
+    early_requests_.Remove(request);
     responders_.erase(request);
     runner_.Run([&](Instant now, EntryEffects& out) {
       core().OnCallerGone(now, request, out);
@@ -243,12 +256,35 @@
 
   void HandleRequest(const http::Request& request,
                      const http::Responder& respond) {
-    if (auto response = DispatchRequest(request, respond)) {
-      if (response->status >= kMinErrorStatus) {
-        LogRefusal(request, *response);
-      }
-      respond(CloseWhenStopping(*std::move(response)));
+    if (!peer_service_->control().has_configuration() &&
+        early_requests_.Add(request, respond)) {
+      return;
     }
+    HandleRequest(request, respond, Duration(0));
+  }
+
+  /// Handles a request that was held for `held` before.
+  void HandleRequest(const http::Request& request,
+                     const http::Responder& respond,
+                     Duration held) {
+    if (auto response = DispatchRequest(request, respond, held)) {
+      RespondDirectly(request, respond, *std::move(response));
+    }
+  }
+
+  void RefuseEarly(const EarlyRequest& early) {
+    RespondDirectly(early.request, early.respond,
+                    RetryResponse("no_configuration", kShortRetryAfter));
+  }
+
+  /// Sends a response that the core has no part in.
+  void RespondDirectly(const http::Request& request,
+                       const http::Responder& respond,
+                       http::Response response) {
+    if (response.status >= kMinErrorStatus) {
+      LogRefusal(request, response);
+    }
+    respond(CloseWhenStopping(std::move(response)));
   }
 
   void LogRefusal(const http::Request& request,
@@ -265,9 +301,9 @@
   }
 
   /// Returns the response, or nullopt when it is sent later.
-  std::optional<http::Response> DispatchRequest(
-      const http::Request& request,
-      const http::Responder& respond) {
+  std::optional<http::Response> DispatchRequest(const http::Request& request,
+                                                const http::Responder& respond,
+                                                Duration held) {
     const core::direct::ControlStreamState& control = peer_service_->control();
     if (!control.has_configuration()) {
       return RetryResponse("no_configuration", kShortRetryAfter);
@@ -289,7 +325,7 @@
       return ErrorResponse(404, "no_such_job");
     }
     if (request.method == "POST") {
-      return Submit(request, respond, *route, id);
+      return Submit(request, respond, *route, id, held);
     }
     if (request.method == "DELETE") {
       return Cancel(id);
@@ -303,7 +339,8 @@
   std::optional<http::Response> Submit(const http::Request& request,
                                        const http::Responder& respond,
                                        const Route& route,
-                                       std::string_view id) {
+                                       std::string_view id,
+                                       Duration held) {
     const auto& limits = peer_service_->control().configuration().limits;
     if (request.body.size() > limits.max_body_bytes) {
       return ErrorResponse(413, "body_too_large");
@@ -319,7 +356,9 @@
     }
     job->id = id;
     job->request = request.number;
-    job->time_limit = TimeLimit(request, route, job->target);
+    // Both count from the arrival of the request.
+    job->time_limit = TimeLimit(request, route, job->target) - held;
+    job->target -= held;
     responders_[request.number] = respond;
     runner_.Run([&](Instant now, EntryEffects& out) {
       core().OnJob(now, WallTime::Now(), *std::move(job), out);
@@ -355,6 +394,10 @@
     core().SetZonesOut(control.snapshot().zones_out);
     if (control.has_configuration()) {
       caller_server_->SetLimits(ClampLimits(control.configuration().limits));
+      for (const EarlyRequest& early : early_requests_.TakeAll()) {
+        HandleRequest(early.request, early.respond,
+                      MonotonicClock::now() - early.arrived);
+      }
     }
     runner_.UpdateWakeup();
   }
@@ -368,12 +411,14 @@
       return false;
     }
     caller_server_->StopAccepting();
-    return responders_.empty();
+    return responders_.empty() && early_requests_.empty();
   }
 
   const PlatformSettings settings_;
   const NodeContext context_;
   CoreRunner<DirectEntry, EntryEffects> runner_;
+  /// Requests that arrived before the first configuration.
+  EarlyRequests early_requests_;
   DrainMonitor drain_;
   /// Responders of the submissions that are not answered yet, by request
   /// number.
