Call a job hopeless only when every upstream is known

Change: a sidecar without an upstream counts as unknown for two seconds after it was found. A job whose label no known upstream has is refused at once as well; it waited until its target could not be met.

--- a/filbertwick/core/direct/direct_entry.cc
+++ b/filbertwick/core/direct/direct_entry.cc
@@ -22,6 +22,12 @@
   return static_cast<uint64_t>(std::max<int64_t>(units, 1));
 }
 
+/// Returns true when the upstream has the label, or when it is empty.
+bool HasLabel(const UpstreamProfile& upstream, std::string_view label) {
+  return label.empty() ||
+         std::ranges::find(upstream.labels, label) != upstream.labels.end();
+}
+
 }  // namespace
 
 void DirectEntry::Impl::OnJob(Instant now, WallTime wall, JobRequest spec) {
@@ -50,7 +56,7 @@
   job.spec = std::move(spec);
   DirectJob& added = jobs_.Add(std::move(job));
   deadlines_.emplace(added.deadline, added.number);
-  if (!CanEverFit(added)) {
+  if (!CanEverFit(now, added)) {
     Refuse(now, added, "no_upstream_fits");
     return;
   }
@@ -74,16 +80,16 @@
                   std::max(spec.target - spec.expected, min_wait));
 }
 
-bool DirectEntry::Impl::CanEverFit(const DirectJob& job) const {
-  const auto is_known = [](const SidecarView& view) {
-    return view.incarnation != 0;
-  };
+bool DirectEntry::Impl::CanEverFit(Instant now, const DirectJob& job) const {
   const auto views = sidecars_ | std::views::values;
-  return std::ranges::none_of(views, is_known) ||
+  return std::ranges::any_of(
+             views,
+             [&](const SidecarView& it) { return it.MayFindUpstream(now); }) ||
          std::ranges::all_of(job.spec.steps, [&](const JobStep& step) {
            return std::ranges::any_of(views, [&](const SidecarView& view) {
              return view.upstream.service == job.spec.service &&
-                    view.upstream.capacity.Covers(step.needs);
+                    view.upstream.capacity.Covers(step.needs) &&
+                    HasLabel(view.upstream, step.required_label);
            });
          });
 }
@@ -201,6 +207,7 @@
     const auto [it, added] = sidecars_.try_emplace(name);
     if (added) {
       it->second.name = name;
+      it->second.found_at = now;
       it->second.heartbeat_due = now;
     }
   }
--- a/filbertwick/core/direct/direct_entry_impl.h
+++ b/filbertwick/core/direct/direct_entry_impl.h
@@ -71,10 +71,10 @@
   /// running now, or DirectJob::started is set.
   static bool MayHaveRun(const DirectJob& job);
   Duration MaxWait(const JobRequest& spec) const;
-  /// Returns false when some step needs more than the total capacity of every
-  /// known upstream of the job's service. Returns true while no sidecar has
-  /// reported its upstream.
-  bool CanEverFit(const DirectJob& job) const;
+  /// Returns false when no known upstream of the job's service can ever run
+  /// some step: each is too small or lacks the label. Returns true as long as
+  /// a sidecar may still find its upstream.
+  bool CanEverFit(Instant now, const DirectJob& job) const;
   void ExpireJobs(Instant now);
 
   // Placement.
@@ -92,7 +92,7 @@
                   std::span<SidecarView* const> places);
 
   // Sidecars.
-  void BeginIncarnation(SidecarView& view, uint64_t incarnation);
+  void BeginIncarnation(Instant now, SidecarView& view, uint64_t incarnation);
   void HandleReply(Instant now, SidecarView& view, const OfferReply& reply);
   void HandleRefusal(const TaskRun& run, Refusal refusal);
   void HandleEnd(Instant now, SidecarView& view, const RunEnd& end);
--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -133,7 +133,7 @@
     return;
   }
   if (message.from.incarnation != view.incarnation) {
-    BeginIncarnation(view, message.from.incarnation);
+    BeginIncarnation(now, view, message.from.incarnation);
   }
   for (const RunEnd& end : message.ends) {
     if (end.number > view.acknowledged_end) {
@@ -176,7 +176,8 @@
   placement_due_ = true;
 }
 
-void DirectEntry::Impl::BeginIncarnation(SidecarView& view,
+void DirectEntry::Impl::BeginIncarnation(Instant now,
+                                         SidecarView& view,
                                          uint64_t incarnation) {
   if (view.incarnation != 0) {
     effects_.push_back(
@@ -186,6 +187,7 @@
   }
   view.unconfirmed_runs = view.TakeUnfinishedRuns();
   view.incarnation = incarnation;
+  view.found_at = now;
   view.clock = 0;
   view.accepts_tasks = false;
   view.acknowledged_end = 0;
--- a/filbertwick/core/direct/sidecar_view.h
+++ b/filbertwick/core/direct/sidecar_view.h
@@ -21,6 +21,10 @@
   Instant resend_due;
 };
 
+/// Time within which a started sidecar finds its upstream, if that lives:
+/// longer than the interval of announcements.
+inline constexpr Duration kUpstreamDiscoveryTime = std::chrono::seconds(2);
+
 /// An entry's knowledge of a sidecar, and the entry's unfinished work there.
 struct SidecarView {
   InstanceName name;
@@ -29,6 +33,9 @@
   /// Newest reading of the sidecar's clock.
   ClockReading clock = 0;
   Instant last_heard;
+  /// When this incarnation of the sidecar was first heard; before that, when
+  /// the sidecar was added.
+  Instant found_at;
   /// Send time of the first unanswered message that asks for a reply or
   /// contains offers or stops; Instant::max() when all are answered.
   Instant unanswered_since = Instant::max();
@@ -65,6 +72,10 @@
   /// unacknowledged.
   Instant ack_due = Instant::max();
 
+  /// Returns true when the sidecar may have an upstream that is not known yet.
+  bool MayFindUpstream(Instant now) const {
+    return upstream.service.empty() && now - found_at < kUpstreamDiscoveryTime;
+  }
   /// Returns true when the sidecar should get only tasks that fit nowhere else.
   bool ShouldAvoid(Instant now) const {
     return now < avoid_until || (IsOnProbation() && IsBusy());
--- a/unit_tests/direct_entry_test.cc
+++ b/unit_tests/direct_entry_test.cc
@@ -98,6 +98,19 @@
     return job;
   }
 
+  /// Delivers a message of a new incarnation of sidecar `n` that has not found
+  /// its upstream yet.
+  void RestartWithoutUpstream(size_t n) {
+    SidecarMessage message;
+    message.from = {InstanceName(n == 0 ? "s0" : "s1"), 4};
+    message.to_incarnation = 7;
+    message.echoed_sent_at = ToMicros(now);
+    message.clock = ToMicros(now);
+    EntryEffects effects;
+    entry->OnMessage(now, message, effects);
+    Collect(effects);
+  }
+
   void Submit(JobRequest job) {
     EntryEffects effects;
     entry->OnJob(now, {1'800'000'000'000}, std::move(job), effects);
@@ -385,3 +398,32 @@
   cr_assert_eq(last.size(), 1);
   cr_assert_eq(last.front().second.run, runs.front().second.run + 1);
 }
+
+// After a power loss the sidecars answer before they know their upstreams.
+Test(direct_entry, keeps_a_job_while_sidecars_look_for_their_upstreams) {
+  Fixture it;
+  it.AdvanceTime(10 * kMilli);
+  it.RestartWithoutUpstream(0);
+  it.RestartWithoutUpstream(1);
+  it.Submit(it.Job("j", 1));
+  cr_assert(it.answers.empty());
+  // Known hopeless once they had the time to find one.
+  it.AdvanceTime(std::chrono::seconds(2));
+  it.answers.clear();
+  it.Submit(it.Job("k", 1));
+  cr_assert_eq(it.answers.size(), 1);
+  cr_assert_eq(it.answers.front().outcome, JobOutcome::kRefused);
+  cr_assert_eq(it.answers.front().cause, "no_upstream_fits");
+}
+
+Test(direct_entry, refuses_at_once_jobs_with_a_label_that_no_upstream_has) {
+  Fixture it;
+  it.AdvanceTime(std::chrono::seconds(3));
+  it.SendFromSidecar(0, {}, {});
+  it.SendFromSidecar(1, {}, {});
+  JobRequest job = it.Job("j", 1);
+  job.steps.front().required_label = "gpu";
+  it.Submit(job);
+  cr_assert_eq(it.answers.size(), 1);
+  cr_assert_eq(it.answers.front().cause, "no_upstream_fits");
+}
