Drop requests whose caller left before they were read

The resumed entry reads a request that the caller has given up and sent elsewhere meanwhile, and offers its tasks before it sees the end of the connection.

A client that has closed its sending side only is still answered by servers without that hook, as before.

Test: does_not_handle_a_request_whose_connection_was_closed.

--- a/filbertwick/http/server.cc
+++ b/filbertwick/http/server.cc
@@ -224,9 +224,10 @@
   /// that of the request and answers `Expect: 100-continue`.
   void ProcessHeaderIfComplete();
   void CallHandler();
-  /// Returns true if the client has reset the connection. A complete request
-  /// may still be read from a connection after its reset.
-  bool IsReset();
+  /// Returns true if the client has reset the connection, or closed it while a
+  /// disconnect hook is set. A complete request may still be read from such a
+  /// connection.
+  bool HasClientDisconnected();
   void SendResponse(Response response);
   /// Writes the response from byte `written` on, waiting whenever the socket
   /// buffer is full.
@@ -367,17 +368,21 @@
   }
 }
 
-bool Server::Impl::Connection::IsReset() {
+bool Server::Impl::Connection::HasClientDisconnected() {
   char byte = 0;
   ErrorCode ec;
   socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, ec);
-  return ec && ec != asio::error::would_block && ec != asio::error::eof;
+  // Without the hook, a client that has closed its sending side only still gets
+  // its response.
+  const bool closed = ec == asio::error::eof && owner_.on_disconnect_;
+  return closed ||
+         (ec && ec != asio::error::eof && ec != asio::error::would_block);
 }
 
 void Server::Impl::Connection::CallHandler() {
-  // A client may send the request again at once after a reset, so the request
-  // must not be handled here as well.
-  if (IsReset()) {
+  // The client may have sent the request again elsewhere, so it must not be
+  // handled here as well.
+  if (HasClientDisconnected()) {
     Close();
     return;
   }
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -1,6 +1,7 @@
 #include <criterion/criterion.h>
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <random>
 #include <vector>
@@ -185,25 +186,38 @@
   saved_responder({});
 }
 
-// The request and the reset arrive while the server is busy, so that it reads
-// the request only after the reset.
-Test(http_server, does_not_handle_a_request_whose_connection_was_reset) {
+/// Sends a request and ends the connection while the server is busy, so that it
+/// reads the request only afterwards. Checks that it does not handle the
+/// request.
+void CheckUnhandledAfter(const std::function<void(RawConnection&)>& end) {
   std::atomic<int> handled = 0;
-  EchoServer test({}, [&](Request request, const Responder& respond) {
-    ++handled;
-    Echo(std::move(request), respond);
-  });
+  EchoServer test(
+      {},
+      [&](Request request, const Responder& respond) {
+        ++handled;
+        Echo(std::move(request), respond);
+      },
+      [](uint64_t) {});
   RawConnection raw(test.port());
   raw.Send(kValidRequest);
   cr_assert(StartsWithStatus(raw.Read(13), 200));
   test.loop.Run([&] {
     raw.Send(kValidRequest);
-    raw.Reset();
+    end(raw);
   });
   cr_assert(test.AnswersRequests());
   cr_assert_eq(handled, 2);
 }
 
+Test(http_server, does_not_handle_a_request_whose_connection_was_reset) {
+  CheckUnhandledAfter([](RawConnection& it) { it.Reset(); });
+}
+
+// A paused server may read a request long after the client gave it up.
+Test(http_server, does_not_handle_a_request_whose_connection_was_closed) {
+  CheckUnhandledAfter([](RawConnection& it) { it.Close(); });
+}
+
 Test(http_server, response_may_come_later_from_another_thread) {
   std::vector<std::thread> threads;
   EchoServer server({}, [&](Request request, Responder respond) {
