Extract DirectCluster from the random schedules

The simulated entries, sidecars and upstreams of DirectTrial become a class of their own, so that load replays can use them. Delays, fates of commands and runs come through hooks; a run has a plan (length, end, progress).

--- /dev/null
+++ b/filbertwick/harness/direct_cluster.h
@@ -0,0 +1,200 @@
+#ifndef FILBERTWICK_HARNESS_DIRECT_CLUSTER_H_
+#define FILBERTWICK_HARNESS_DIRECT_CLUSTER_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "filbertwick/core/direct/direct_entry.h"
+#include "filbertwick/core/direct/direct_sidecar.h"
+#include "filbertwick/harness/direct_upstream.h"
+#include "filbertwick/harness/event_loop.h"
+
+namespace filbertwick::harness {
+
+/// A directed connection between an entry and a sidecar.
+struct DirectLink {
+  uint32_t entry = 0;
+  uint32_t sidecar = 0;
+  bool to_sidecar = false;
+};
+
+/// What happens to a command on its way to the upstream.
+struct CommandFate {
+  Duration delay{0};
+  /// The command is not answered, and may meet a later incarnation of the
+  /// upstream.
+  bool late = false;
+};
+
+/// What a DirectCluster leaves to its owner. All must be set but `trace`.
+struct DirectClusterHooks {
+  /// Delay of a message.
+  std::function<Duration(const DirectLink&)> message_delay;
+  /// `is_stop` is true for a stop command, false for a start or a listing.
+  std::function<CommandFate(uint32_t sidecar, bool is_stop)> command_fate;
+  /// Delay of the answer to a command.
+  std::function<Duration()> answer_delay;
+  /// How the started task will run at the upstream.
+  std::function<DirectUpstream::RunPlan(uint32_t sidecar,
+                                        const core::direct::StartCommand&)>
+      plan_run;
+  /// A start command was executed.
+  std::function<void(uint32_t sidecar,
+                     const core::direct::StartCommand&,
+                     core::direct::CommandResult)>
+      started;
+  std::function<void(uint32_t entry, const core::direct::AnswerJobEffect&)>
+      answered;
+  /// Receives one line for each event; may be empty.
+  std::function<void(std::string_view line)> trace;
+};
+
+struct DirectClusterSettings {
+  uint32_t entries = 1;
+  uint32_t sidecars = 1;
+  core::direct::DirectEntrySettings entry;
+  core::direct::DirectSidecarSettings sidecar;
+  /// Capacity of the upstream beside each sidecar.
+  std::vector<core::direct::Resources> capacities;
+};
+
+/// The service of all upstreams of a DirectCluster.
+inline constexpr const char* kClusterService = "service";
+
+/// Entries, sidecars and model upstreams in virtual time: connects the real
+/// cores with each other. Its processes can be paused and killed.
+class DirectCluster {
+ public:
+  /// `loop` must outlive the object.
+  DirectCluster(EventLoop& loop,
+                DirectClusterSettings settings,
+                DirectClusterHooks hooks);
+
+  void StartEntry(uint32_t n);
+  /// Starts a sidecar with placement allowed. It knows no upstream yet.
+  void StartSidecar(uint32_t n);
+  /// Replaces the upstream beside a sidecar by one that has just started, with
+  /// the id `id`; an empty one keeps the present id. `clock_rate` is the speed
+  /// of its clock.
+  void StartUpstream(uint32_t n, std::string id, double clock_rate);
+  /// Sends an announcement of the upstream to its sidecar.
+  void Announce(uint32_t n);
+  /// Gives the recorded upstream, if any, to incarnation `incarnation` of the
+  /// sidecar.
+  void RestoreUpstream(uint32_t n, uint64_t incarnation);
+
+  /// Hands a job to an entry. Returns false when the entry is dead.
+  bool Submit(uint32_t n, core::direct::JobRequest job);
+  /// Tells an entry that the caller of a request has disconnected. A request
+  /// that the entry has not read yet is dropped, as the HTTP server does.
+  void Disconnect(uint32_t n, uint64_t request);
+
+  void PauseEntry(uint32_t n, Duration duration);
+  void PauseSidecar(uint32_t n, Duration duration);
+  /// Ends the present incarnation. The next one begins with `restart` after
+  /// `downtime`, unless the process is killed again before.
+  void KillEntry(uint32_t n, Duration downtime, std::function<void()> restart);
+  void KillSidecar(uint32_t n,
+                   Duration downtime,
+                   std::function<void()> restart);
+
+  DirectUpstream& upstream(uint32_t n) { return *sidecars_[n].upstream; }
+  bool HasRecordedUpstream(uint32_t n) const {
+    return sidecars_[n].recorded.has_value();
+  }
+  uint64_t sidecar_incarnation(uint32_t n) const {
+    return sidecars_[n].incarnation;
+  }
+  bool IsEntryDead(uint32_t n) const;
+  core::direct::DirectEntryStatus EntryStatus(uint32_t n) const;
+  int64_t last_upstream_start() const { return last_upstream_start_; }
+
+ private:
+  /// State of a simulated process, which can be paused or killed.
+  struct Process {
+    Duration paused_until{0};
+    Duration dead_until{0};
+    /// Number of the current incarnation; events of earlier ones are dropped.
+    uint64_t incarnation = 1;
+    /// Virtual time of the scheduled wake-up.
+    Duration wake{Duration::max()};
+  };
+  struct Entry : Process {
+    std::unique_ptr<core::direct::DirectEntry> core;
+    /// Requests that the entry has not read yet, because it is paused.
+    std::set<uint64_t> unread_requests;
+  };
+  struct Sidecar : Process {
+    std::unique_ptr<core::direct::DirectSidecar> core;
+    std::unique_ptr<DirectUpstream> upstream;
+    /// Id that the upstream announces.
+    std::string upstream_id;
+    uint64_t announcements = 0;
+    /// The recorded upstream; kept when the sidecar restarts.
+    std::optional<core::direct::UpstreamAnnouncement> recorded;
+  };
+
+  using EntryStep = std::function<void(Instant, core::direct::EntryEffects&)>;
+  using SidecarStep =
+      std::function<void(Instant, core::direct::SidecarEffects&)>;
+
+  Instant Now() const { return Instant(loop_.now() + Duration(1)); }
+  void RunWhenAvailable(Process& process,
+                        uint64_t incarnation,
+                        const std::function<void()>& action);
+  void Pause(Process& process, Duration duration);
+  void Kill(Process& process, Duration downtime, std::function<void()> restart);
+  void StepEntry(uint32_t n, const EntryStep& step);
+  void StepSidecar(uint32_t n, const SidecarStep& step);
+  void ScheduleWakeup(Process& process,
+                      Instant due,
+                      std::function<void()> wake);
+  void SendToSidecar(uint32_t from, core::direct::SendToSidecarEffect send);
+  void HandleEffect(uint32_t from, core::direct::SendToEntryEffect& send);
+  void HandleEffect(uint32_t n,
+                    const core::direct::RecordUpstreamEffect& effect);
+  void HandleEffect(uint32_t n, const LogLine& line);
+  /// Executes a command, after a delay, at the upstream that runs by then.
+  template <typename Command>
+  void HandleEffect(uint32_t n, const Command& command);
+  core::direct::CommandResult ExecuteCommand(
+      uint32_t n,
+      const core::direct::StartCommand& command,
+      core::direct::Listing& listing);
+  core::direct::CommandResult ExecuteCommand(
+      uint32_t n,
+      const core::direct::StopCommand& command,
+      core::direct::Listing& listing);
+  core::direct::CommandResult ExecuteCommand(
+      uint32_t n,
+      const core::direct::ListCommand& command,
+      core::direct::Listing& listing);
+  template <typename Command>
+  void Reply(uint32_t n,
+             bool lost,
+             uint64_t incarnation,
+             uint64_t number,
+             core::direct::CommandResult answer,
+             core::direct::Listing listing,
+             const Command& command);
+  void Trace(const std::function<std::string()>& format) const;
+
+  EventLoop& loop_;
+  const DirectClusterSettings settings_;
+  const DirectClusterHooks hooks_;
+  std::vector<Entry> entries_;
+  std::vector<Sidecar> sidecars_;
+  int64_t last_upstream_start_ = 0;
+};
+
+}  // namespace filbertwick::harness
+
+#endif  // FILBERTWICK_HARNESS_DIRECT_CLUSTER_H_
--- a/filbertwick/harness/direct_upstream.cc
+++ b/filbertwick/harness/direct_upstream.cc
@@ -37,7 +37,7 @@
 
 CommandResult DirectUpstream::Start(Duration now,
                                     const core::direct::StartCommand& command,
-                                    Duration length) {
+                                    const RunPlan& plan) {
   Advance(now);
   if (!Accepts(command.header.fencing_token)) {
     return CommandResult::kFenced;
@@ -56,7 +56,7 @@
   if (it != highest_ended_run_.end() && command.run.run <= it->second) {
     return CommandResult::kRefused;
   }
-  runs_.emplace(command.run.task, Run{command.run.run, now, length});
+  runs_.emplace(command.run.task, Run{command.run.run, now, plan});
   return CommandResult::kAccepted;
 }
 
@@ -94,8 +94,9 @@
   listing.started_unix_millis = started_unix_millis_;
   listing.ended = unacknowledged_ends_;
   for (const auto& [task, run] : runs_) {
-    const auto percent = (now - run.started_at) * 100 / run.length;
-    listing.running.push_back({{task, run.run}, percent});
+    const auto percent = (now - run.started_at) * 100 / run.plan.length;
+    listing.running.push_back(
+        {{task, run.run}, std::min(percent, run.plan.max_percent)});
   }
   return CommandResult::kAccepted;
 }
@@ -112,7 +113,7 @@
 void DirectUpstream::Advance(Duration now) {
   for (auto it = runs_.begin(); it != runs_.end();) {
     const Run& run = it->second;
-    const bool done = now >= run.started_at + run.length;
+    const bool done = now >= run.started_at + run.plan.length;
     const bool stopped = now >= run.stopped_at;
     const bool lease_expired = Clock(now) > lease_end_;
     if (!done && !stopped && !lease_expired) {
@@ -120,7 +121,7 @@
       continue;
     }
     End(it->first, run.run,
-        done      ? EndKind::kDone
+        done      ? run.plan.end
         : stopped ? EndKind::kStopped
                   : EndKind::kLost);
     it = runs_.erase(it);
--- a/filbertwick/harness/direct_upstream.h
+++ b/filbertwick/harness/direct_upstream.h
@@ -29,6 +29,14 @@
   /// Longest lease in milliseconds of the upstream's clock.
   static constexpr int64_t kMaxLeaseMillis = 1000;
 
+  /// How a run ends if it is neither stopped nor killed.
+  struct RunPlan {
+    Duration length{0};
+    core::direct::EndKind end = core::direct::EndKind::kDone;
+    /// Its progress is never reported above this; 0 for a task that hangs.
+    int64_t max_percent = 100;
+  };
+
   /// `started_unix_millis` identifies this incarnation of the upstream: its
   /// start time, or a counter. `started_at` is the current virtual time, at
   /// which its clock starts, and `rate` the speed of this clock relative to
@@ -46,13 +54,12 @@
 
   /// Returns the upstream's own clock in milliseconds, always above 0.
   core::direct::UpstreamMillis Clock(Duration now) const;
-  /// Extends the lease and starts a run of the given length, unless it already
-  /// runs.
+  /// Extends the lease and starts a run, unless it already runs.
   /// Returns kFenced for a lower token; kRefused if the lease in the command
   /// has already expired, or if this or a later run of the task has ended.
   core::direct::CommandResult Start(Duration now,
                                     const core::direct::StartCommand& command,
-                                    Duration length);
+                                    const RunPlan& plan);
   /// Stops a run after a short delay, and bars the task from starting under
   /// this or a lower run number. Returns kFenced for a lower token.
   core::direct::CommandResult Stop(Duration now,
@@ -77,7 +84,7 @@
     /// Run number of the task.
     uint64_t run = 0;
     Duration started_at{0};
-    Duration length{0};
+    RunPlan plan;
     /// Time at which a stop takes effect.
     Duration stopped_at{Duration::max()};
   };
--- a/soak/upstream.cc
+++ b/soak/upstream.cc
@@ -358,7 +358,7 @@
   runs_->Advance(Now());
   const size_t before = runs_->Running().size();
   const auto answer = runs_->Start(
-      Now(), command, hanging_ ? kHangTime : ParseRunTime(command.spec));
+      Now(), command, {hanging_ ? kHangTime : ParseRunTime(command.spec)});
   if (runs_->Running().size() > before) {
     observer_.OnStarted(settings_.name, command.run.task, before,
                         settings_.max_running_tasks);
