--- a/filbertwick/harness/direct_cluster.cc
+++ b/filbertwick/harness/direct_cluster.cc
@@ -17,6 +17,9 @@
 /// first token is its incarnation times this number. Tokens that start from the
 /// wall clock are much further apart between two incarnations.
 constexpr uint64_t kTokensPerIncarnation = 1000;
+/// A held listing looks for ends of runs that started after it at least this
+/// often.
+constexpr Duration kMaxListingRecheck = 5 * kMilli;
 constexpr int64_t kWallStartUnixMillis = 1'768'840'000'000;
 
 InstanceName EntryName(uint32_t n) {
@@ -318,32 +321,54 @@
 void DirectCluster::HandleEffect(uint32_t n, const Command& command) {
   const CommandFate fate =
       hooks_.command_fate(n, std::is_same_v<Command, direct::StopCommand>);
-  const uint64_t incarnation = sidecars_[n].incarnation;
-  const int64_t started_unix_millis =
-      sidecars_[n].upstream->started_unix_millis();
-  loop_.After(fate.delay, [this, n, command, late = fate.late, incarnation,
-                           started_unix_millis] {
-    Sidecar& sidecar = sidecars_[n];
+  const CommandOrigin origin = {sidecars_[n].incarnation,
+                                sidecars_[n].upstream->started_unix_millis(),
+                                fate.late};
+  loop_.After(fate.delay, [this, n, command, origin] {
+    const DirectUpstream& upstream = *sidecars_[n].upstream;
     // Drops a late command for an earlier incarnation of the upstream with the
     // same id, if the current one has seen no fencing token yet: a sidecar
     // cannot fence off such a command, as PLATFORM.md states.
-    if (late &&
-        sidecar.upstream->started_unix_millis() != started_unix_millis &&
-        !sidecar.upstream->has_token()) {
+    if (origin.late &&
+        upstream.started_unix_millis() != origin.upstream_start &&
+        !upstream.has_token()) {
       return;
     }
-    if (command.header.upstream != sidecar.upstream_id) {
-      Reply(n, late, incarnation, command.header.number,
-            direct::CommandResult::kOtherIncarnation, {}, command);
-      return;
+    Duration wait_end = loop_.now();
+    if constexpr (std::is_same_v<Command, direct::ListCommand>) {
+      wait_end += command.wait;
     }
-    direct::Listing listing;
-    const auto answer = ExecuteCommand(n, command, listing);
-    Reply(n, late, incarnation, command.header.number, answer, listing,
-          command);
+    Execute(n, command, origin, wait_end);
   });
 }
 
+template <typename Command>
+void DirectCluster::Execute(uint32_t n,
+                            const Command& command,
+                            const CommandOrigin& origin,
+                            Duration wait_end) {
+  if (command.header.upstream != sidecars_[n].upstream_id) {
+    Reply(n, origin, command, direct::CommandResult::kOtherIncarnation, {});
+    return;
+  }
+  direct::Listing listing;
+  const auto answer = ExecuteCommand(n, command, listing);
+  if constexpr (std::is_same_v<Command, direct::ListCommand>) {
+    if (answer == direct::CommandResult::kAccepted && listing.ended.empty() &&
+        loop_.now() < wait_end) {
+      const Duration next =
+          std::min({wait_end, loop_.now() + kMaxListingRecheck,
+                    std::max(sidecars_[n].upstream->NextEnd(),
+                             loop_.now() + kMilli / 10)});
+      loop_.At(next, [this, n, command, origin, wait_end] {
+        Execute(n, command, origin, wait_end);
+      });
+      return;
+    }
+  }
+  Reply(n, origin, command, answer, std::move(listing));
+}
+
 direct::CommandResult DirectCluster::ExecuteCommand(
     uint32_t n,
     const direct::StartCommand& command,
@@ -379,24 +404,18 @@
 
 template <typename Command>
 void DirectCluster::Reply(uint32_t n,
-                          bool lost,
-                          uint64_t incarnation,
-                          uint64_t number,
+                          const CommandOrigin& origin,
+                          const Command& command,
                           direct::CommandResult answer,
-                          direct::Listing listing,
-                          const Command& command) {
-  if (lost) {
+                          direct::Listing listing) {
+  if (origin.late) {
     return;
   }
-  Duration delay = hooks_.answer_delay();
-  if constexpr (std::is_same_v<Command, direct::ListCommand>) {
-    if (listing.ended.empty()) {
-      delay += command.wait;
-    }
-  }
+  const uint64_t incarnation = origin.incarnation;
+  const uint64_t number = command.header.number;
   const auto clock = sidecars_[n].upstream->Clock(loop_.now());
-  loop_.After(delay, [this, n, incarnation, number, answer, clock,
-                      listing = std::move(listing)] {
+  loop_.After(hooks_.answer_delay(), [this, n, incarnation, number, answer,
+                                      clock, listing = std::move(listing)] {
     RunWhenAvailable(
         sidecars_[n], incarnation, [this, n, number, answer, clock, listing] {
           StepSidecar(n, [&](Instant now, direct::SidecarEffects& out) {
--- a/filbertwick/harness/direct_cluster.h
+++ b/filbertwick/harness/direct_cluster.h
@@ -142,6 +142,15 @@
     std::optional<core::direct::UpstreamAnnouncement> recorded;
   };
 
+  /// Where a command comes from.
+  struct CommandOrigin {
+    /// Incarnation of the sidecar.
+    uint64_t incarnation = 0;
+    /// Start time of the upstream that the sidecar meant.
+    int64_t upstream_start = 0;
+    bool late = false;
+  };
+
   using EntryStep = std::function<void(Instant, core::direct::EntryEffects&)>;
   using SidecarStep =
       std::function<void(Instant, core::direct::SidecarEffects&)>;
@@ -165,6 +174,13 @@
   /// Executes a command, after a delay, at the upstream that runs by then.
   template <typename Command>
   void HandleEffect(uint32_t n, const Command& command);
+  /// Executes a command that has arrived at the upstream. A listing without
+  /// ends is repeated until there is one, or until `wait_end`.
+  template <typename Command>
+  void Execute(uint32_t n,
+               const Command& command,
+               const CommandOrigin& origin,
+               Duration wait_end);
   core::direct::CommandResult ExecuteCommand(
       uint32_t n,
       const core::direct::StartCommand& command,
@@ -179,12 +195,10 @@
       core::direct::Listing& listing);
   template <typename Command>
   void Reply(uint32_t n,
-             bool lost,
-             uint64_t incarnation,
-             uint64_t number,
+             const CommandOrigin& origin,
+             const Command& command,
              core::direct::CommandResult answer,
-             core::direct::Listing listing,
-             const Command& command);
+             core::direct::Listing listing);
   void Trace(const std::function<std::string()>& format) const;
 
   EventLoop& loop_;
--- a/filbertwick/harness/direct_upstream.cc
+++ b/filbertwick/harness/direct_upstream.cc
@@ -128,6 +128,14 @@
   }
 }
 
+Duration DirectUpstream::NextEnd() const {
+  Duration next = Duration::max();
+  for (const Run& run : runs_ | std::views::values) {
+    next = std::min({next, run.stopped_at, run.started_at + run.plan.length});
+  }
+  return next;
+}
+
 std::vector<core::direct::TaskRun> DirectUpstream::Running() const {
   std::vector<core::direct::TaskRun> runs;
   for (const auto& [task, run] : runs_) {
--- a/filbertwick/harness/direct_upstream.h
+++ b/filbertwick/harness/direct_upstream.h
@@ -73,6 +73,9 @@
   /// lease has expired.
   void Advance(Duration now);
 
+  /// Returns when the next run ends, unless the lease expires before;
+  /// Duration::max() when none runs.
+  Duration NextEnd() const;
   /// Returns the runs that have not ended.
   std::vector<core::direct::TaskRun> Running() const;
   int64_t started_unix_millis() const { return started_unix_millis_; }
