Leave tasks waiting rather than run them on failing upstreams

Suspect upstreams were used when no other had room; under load that is always so, they are always empty, and a job fails with its second attempt. Ruled out: detection (two failures suffice, the replay shows the same in every second).

Change: a suspect upstream gets no task unless more than half of the candidates are suspect (then the tasks may be what fails); a last attempt is not used to probe. A run lost with its upstream puts that on probation only, since it may be another one when it is back.

--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -59,8 +59,11 @@
       return false;
     }
     const JobStep& step = job.spec.steps[task.step];
-    policy::PlacementTask item = {step.needs, step.required_label,
-                                  step.data_rack, step.max_tasks_per_upstream,
+    policy::PlacementTask item = {step.needs,
+                                  step.required_label,
+                                  step.data_rack,
+                                  task.failures + 1 >= job.spec.max_attempts,
+                                  step.max_tasks_per_upstream,
                                   std::nullopt};
     const auto last = std::ranges::find_if(views, [&](const SidecarView* view) {
       return view->name == task.sidecar;
--- a/filbertwick/core/direct/sidecar_view.cc
+++ b/filbertwick/core/direct/sidecar_view.cc
@@ -53,6 +53,12 @@
     }
     return;
   }
+  if (end.kind == EndKind::kLost) {
+    // The upstream was gone, and may be another one when it is back. One task
+    // shows whether it works.
+    view.avoid_until = std::max(view.avoid_until, now);
+    return;
+  }
   if (++view.consecutive_failures >= kFailuresToAvoid) {
     const uint32_t doublings = std::min(
         view.consecutive_failures - kFailuresToAvoid, kMaxAvoidanceDoublings);
--- a/filbertwick/core/policy/task_placement.cc
+++ b/filbertwick/core/policy/task_placement.cc
@@ -45,6 +45,21 @@
        part(candidate.free.gpus, candidate.capacity.gpus)});
 }
 
+/// Returns true when at most half of the candidates are suspect. When more are,
+/// the tasks may be what fails, and an upstream that is known to be better does
+/// not exist.
+bool AvoidsSuspects(std::span<const PlacementCandidate> candidates) {
+  const auto suspects =
+      std::ranges::count_if(candidates, &PlacementCandidate::suspect);
+  return static_cast<size_t>(suspects) * 2 <= candidates.size();
+}
+
+bool IsAcceptable(const PlacementTask& task,
+                  const PlacementCandidate& candidate) {
+  return !candidate.suspect &&
+         !(task.is_last_attempt && candidate.on_probation);
+}
+
 bool Fits(const PlacementTask& task, const PlacementCandidate& candidate) {
   return candidate.free.Covers(task.needs) &&
          (task.required_label.empty() ||
@@ -75,13 +90,15 @@
     uint64_t salt) {
   std::vector<PlacementCandidate> remaining(candidates.begin(),
                                             candidates.end());
+  const bool avoids_suspects = AvoidsSuspects(candidates);
   std::vector<std::optional<size_t>> places;
   places.reserve(tasks.size());
   for (const PlacementTask& task : tasks) {
     size_t best = remaining.size();
     double best_score = std::numeric_limits<double>::infinity();
     for (size_t n = 0; n < remaining.size(); ++n) {
-      if (!Fits(task, remaining[n])) {
+      if (!Fits(task, remaining[n]) ||
+          (avoids_suspects && !IsAcceptable(task, remaining[n]))) {
         continue;
       }
       const double score = Score(task, remaining[n],
--- a/filbertwick/core/policy/task_placement.h
+++ b/filbertwick/core/policy/task_placement.h
@@ -20,8 +20,8 @@
   /// Measured run time divided by the estimate; below 1 is faster than
   /// estimated.
   double run_time_ratio = 1;
-  /// The upstream failed recently. It is used only when no other candidate
-  /// fits.
+  /// The upstream failed recently. It gets no task, unless so many candidates
+  /// are suspect that the cause is probably not theirs.
   bool suspect = false;
   /// The upstream failed before. It gets one task, whose result shows whether
   /// it works again, and counts as suspect for further tasks. Without this
@@ -41,6 +41,9 @@
   std::string_view required_label;
   /// Label of the rack that holds the task's data; empty for no preference.
   std::string_view data_rack;
+  /// The job fails when this run of the task fails. It is not used to find out
+  /// whether an upstream on probation works again.
+  bool is_last_attempt = false;
   /// Maximum number of tasks of the step on one upstream; 0 is unlimited.
   size_t max_tasks_per_upstream = 0;
   /// Index of the candidate on which the task failed; it is used only when no
--- /dev/null
+++ b/unit_tests/load_replay_test.cc
@@ -0,0 +1,83 @@
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <numeric>
+
+#include "filbertwick/harness/load_replay.h"
+
+namespace {
+
+using filbertwick::Duration;
+using filbertwick::harness::LoadEvent;
+using filbertwick::harness::LoadFigures;
+using filbertwick::harness::LoadPattern;
+using filbertwick::harness::LoadResult;
+using filbertwick::harness::ReplayLoad;
+using filbertwick::harness::TicketSalesLoad;
+using Type = filbertwick::harness::LoadEvent::Type;
+
+constexpr uint64_t kSeeds = 3;
+constexpr Duration kSecond = std::chrono::seconds(1);
+
+/// Mean worth and other sums of a load over kSeeds seeds.
+struct Figures {
+  double worth = 0;
+  LoadFigures total;
+  double used_share = 0;
+};
+
+Figures Replay(double scale, const std::vector<LoadEvent>& events) {
+  Figures figures;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    LoadPattern pattern = TicketSalesLoad(scale);
+    pattern.events = events;
+    pattern.seed = seed;
+    const LoadResult result = ReplayLoad(pattern);
+    cr_assert_eq(result.violations, 0, "seed %lu: %u", seed, result.violations);
+    figures.worth += result.Worth() / kSeeds;
+    figures.total.asked += result.total.asked;
+    figures.total.late += result.total.late;
+    figures.total.refused += result.total.refused;
+    figures.total.failed += result.total.failed;
+    const auto sum = [](const std::vector<int64_t>& samples) {
+      return static_cast<double>(
+          std::accumulate(samples.begin(), samples.end(), int64_t{0}));
+    };
+    figures.used_share +=
+        sum(result.used_cpu_millis) / sum(result.present_cpu_millis) / kSeeds;
+  }
+  return figures;
+}
+
+}  // namespace
+
+Test(load_replay, answers_everything_in_time_at_four_fifths_of_the_capacity) {
+  const Figures figures = Replay(1, {});
+  cr_assert_geq(figures.worth, 0.99, "%f", figures.worth);
+  cr_assert_eq(figures.total.failed, 0);
+}
+
+// An overload must not waste capacity: what is refused is the excess.
+Test(load_replay, uses_nearly_all_capacity_under_overload) {
+  const Figures figures = Replay(1.4, {});
+  cr_assert_geq(figures.used_share, 0.95, "%f", figures.used_share);
+}
+
+// Two of eleven upstreams fail everything at four fifths of the capacity, so
+// that hardly any room is left on the others. Failing upstreams are always
+// empty; they must not draw the tasks that wait for the others.
+Test(load_replay, loses_few_jobs_to_failing_upstreams_under_load) {
+  const Figures figures =
+      Replay(1, {{Type::kFailing, 2 * kSecond, 6 * kSecond, 1, 2}});
+  cr_assert_leq(figures.total.failed, figures.total.asked / 100, "%u of %u",
+                figures.total.failed, figures.total.asked);
+  cr_assert_geq(figures.worth, 0.95, "%f", figures.worth);
+}
+
+Test(load_replay, loses_few_jobs_to_hanging_upstreams_under_load) {
+  const Figures figures =
+      Replay(1, {{Type::kHanging, 2 * kSecond, 6 * kSecond, 1, 2}});
+  cr_assert_leq(figures.total.failed, figures.total.asked / 100, "%u of %u",
+                figures.total.failed, figures.total.asked);
+  cr_assert_geq(figures.worth, 0.93, "%f", figures.worth);
+}
