Keep unanswered calls from taking all connections to the upstream

Change: a call is given up after 100 ms, still after the core's own 50 ms, and up to 24 of the upstream's connections are used.

--- a/filbertwick/platform/sidecar_node.cc
+++ b/filbertwick/platform/sidecar_node.cc
@@ -33,14 +33,14 @@
 /// Timeout of a start or stop, and time added to the wait of a list request.
 /// Longer than the core's own timeouts: the core gives up first, and a slow
 /// answer does not close the connection.
-constexpr Duration kCallTimeoutMargin = std::chrono::milliseconds(250);
+constexpr Duration kCallTimeoutMargin = std::chrono::milliseconds(100);
 /// Idle time after which a connection is not reused, because the upstream
 /// closes connections that idle for longer.
 constexpr Duration kIdleTimeout = std::chrono::milliseconds(1200);
 /// Limit of connections to the upstream. A call takes about a millisecond, so a
 /// dozen carry the starts of a job with many tasks at once. Opening each
 /// further one costs time.
-constexpr size_t kMaxConnections = 12;
+constexpr size_t kMaxConnections = 24;
 constexpr size_t kMaxAnnouncementBytes = 4 * 1024 * 1024;
 /// Path prefix of announcements; the id of the upstream follows.
 constexpr std::string_view kAnnouncementPath = "/api/instances/";
