Use slow upstreams only for jobs that end soon enough there

A slow upstream is always free under load and gets tasks that can't end there in time.

Change: a candidate slower than 1.5 times its estimates is used only if the rest of the job's path ends within the target at that speed, or, once the job can't meet its target any more, within three times the target: so slow upstreams take jobs that would be refused otherwise. A slow one without runs for a second is on probation, since its speed may have changed; its ratio then adapts faster.

--- a/filbertwick/core/direct/direct_entry.cc
+++ b/filbertwick/core/direct/direct_entry.cc
@@ -191,7 +191,17 @@
 
 void DirectEntry::Impl::ExpireJobs(Instant now) {
   for (const uint64_t number : wait_queue_.TakeExpired(now)) {
-    Refuse(now, *jobs_.Find(number), "no_room_in_time");
+    DirectJob& job = *jobs_.Find(number);
+    // From now on, slow upstreams count as soon enough for the job. They are
+    // left to jobs that no other upstream had room for.
+    if (PlaceReadyTasks(now, job)) {
+      continue;
+    }
+    if (MayHaveRun(job)) {
+      Enqueue(job);
+    } else {
+      Refuse(now, job, "no_room_in_time");
+    }
   }
   while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
     DirectJob& job = *jobs_.Find(deadlines_.begin()->second);
--- a/filbertwick/core/direct/direct_entry_impl.h
+++ b/filbertwick/core/direct/direct_entry_impl.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cassert>
 #include <iterator>
+#include <limits>
 #include <map>
 #include <ranges>
 #include <utility>
@@ -82,6 +83,10 @@
   /// Places the ready tasks for which there is capacity. Returns true when no
   /// ready task is left.
   bool PlaceReadyTasks(Instant now, DirectJob& job);
+  /// Returns the highest run time ratio of an upstream on which a task of the
+  /// step ends soon enough: in time for the target, or, once the job can no
+  /// longer meet it, for an answer that is still of use.
+  double MaxRunTimeRatio(Instant now, const DirectJob& job, size_t step) const;
   bool IsUsable(Instant now, const SidecarView& view) const;
   bool IsUnresponsive(Instant now, const SidecarView& view) const {
     return view.unanswered_since < now - settings_.reply_timeout;
--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -9,6 +9,19 @@
 /// them.
 constexpr Duration kAckDelay = std::chrono::milliseconds(12);
 
+/// Returns the expected time from the start of a step to the end of the last
+/// step that depends on it.
+Duration LongestPathFrom(const JobRequest& job, size_t step) {
+  Duration longest(0);
+  for (size_t later = step + 1; later < job.steps.size(); ++later) {
+    const auto& after = job.steps[later].after;
+    if (std::ranges::find(after, step) != after.end()) {
+      longest = std::max(longest, LongestPathFrom(job, later));
+    }
+  }
+  return job.steps[step].estimate + longest;
+}
+
 }  // namespace
 
 void DirectEntry::Impl::PlaceWaitingJobs(Instant now) {
@@ -30,6 +43,21 @@
          !zones_out_.contains(view.upstream.zone);
 }
 
+double DirectEntry::Impl::MaxRunTimeRatio(Instant now,
+                                          const DirectJob& job,
+                                          size_t step) const {
+  const Duration path = LongestPathFrom(job.spec, step);
+  if (path <= Duration(0)) {
+    return std::numeric_limits<double>::infinity();
+  }
+  const double lateness = now < job.place_by ? 1 : settings_.max_lateness;
+  const auto useful_time =
+      static_cast<double>(job.spec.target.count()) * lateness -
+      static_cast<double>((now - job.arrived).count());
+  return std::max(kNormalRunTimeRatio,
+                  useful_time / static_cast<double>(path.count()));
+}
+
 bool DirectEntry::Impl::PlaceReadyTasks(Instant now, DirectJob& job) {
   std::vector<size_t> ready;
   std::vector<policy::PlacementTask> tasks;
@@ -41,8 +69,8 @@
     }
     views.push_back(&view);
     candidates.push_back({view.free, view.upstream.capacity,
-                          view.run_time_ratio, view.ShouldAvoid(now),
-                          view.IsOnProbation(), view.upstream.labels,
+                          view.ExpectedRunTimeRatio(now), view.ShouldAvoid(now),
+                          view.IsOnProbation(now), view.upstream.labels,
                           static_cast<size_t>(std::ranges::count_if(
                               job.tasks, [&](const JobTask& task) {
                                 return task.phase == TaskPhase::kPlaced &&
@@ -63,6 +91,7 @@
                                   step.required_label,
                                   step.data_rack,
                                   task.failures + 1 >= job.spec.max_attempts,
+                                  MaxRunTimeRatio(now, job, task.step),
                                   step.max_tasks_per_upstream,
                                   std::nullopt};
     const auto last = std::ranges::find_if(views, [&](const SidecarView* view) {
--- a/filbertwick/core/direct/direct_settings.h
+++ b/filbertwick/core/direct/direct_settings.h
@@ -89,6 +89,9 @@
   /// latency, even if its run time leaves less: capacity is freed within the
   /// run time of a short task.
   double min_wait_fraction = 0.25;
+  /// An answer later than this multiple of the target latency is of no use to
+  /// the caller.
+  double max_lateness = 3;
   /// Most waiting jobs. When the queue is full, either the last job in it or
   /// the new one is refused. Bounds memory and the time of one placement pass.
   size_t max_waiting_jobs = 512;
--- a/filbertwick/core/direct/sidecar_view.cc
+++ b/filbertwick/core/direct/sidecar_view.cc
@@ -11,6 +11,10 @@
 /// Weight of the newest run in the smoothed run time ratio; averages over about
 /// ten runs.
 constexpr double kNewestRunWeight = 0.1;
+/// The same for a slow upstream, which gets few runs.
+constexpr double kNewestSlowRunWeight = 0.4;
+/// How long a slow upstream counts as slow without further runs.
+constexpr Duration kSlowMemory = std::chrono::seconds(1);
 /// Bounds of the ratio of a single run; estimates are rough.
 constexpr double kMinRunTimeRatio = 0.25;
 constexpr double kMaxRunTimeRatio = 8;
@@ -38,6 +42,11 @@
   return all;
 }
 
+bool SidecarView::IsSpeedUnknown(Instant now) const {
+  return run_time_ratio > kNormalRunTimeRatio &&
+         now - run_time_measured_at > kSlowMemory;
+}
+
 void RecordRunEnd(Instant now,
                   const RunEnd& end,
                   Duration estimate,
@@ -49,7 +58,11 @@
       const double ratio = std::clamp(static_cast<double>(end.duration_micros) /
                                           static_cast<double>(estimate.count()),
                                       kMinRunTimeRatio, kMaxRunTimeRatio);
-      view.run_time_ratio += kNewestRunWeight * (ratio - view.run_time_ratio);
+      const double weight = view.run_time_ratio > kNormalRunTimeRatio
+                                ? kNewestSlowRunWeight
+                                : kNewestRunWeight;
+      view.run_time_ratio += weight * (ratio - view.run_time_ratio);
+      view.run_time_measured_at = now;
     }
     return;
   }
--- a/filbertwick/core/direct/sidecar_view.h
+++ b/filbertwick/core/direct/sidecar_view.h
@@ -21,6 +21,11 @@
   Instant resend_due;
 };
 
+/// Upstreams whose run times are up to this multiple of the estimates are used
+/// for all jobs; slower ones only for jobs that end soon enough there.
+/// Estimates are off by as much.
+inline constexpr double kNormalRunTimeRatio = 1.5;
+
 /// Time within which a started sidecar finds its upstream, if that lives:
 /// longer than the interval of announcements.
 inline constexpr Duration kUpstreamDiscoveryTime = std::chrono::seconds(2);
@@ -62,6 +67,8 @@
   bool wants_reply = false;
   /// Smoothed ratio of actual to estimated run times; below 1 is fast.
   double run_time_ratio = 1;
+  /// When the run ended that changed the ratio last.
+  Instant run_time_measured_at;
   /// Runs in a row that ended other than with EndKind::kDone.
   uint32_t consecutive_failures = 0;
   /// Until then the sidecar gets only tasks that fit nowhere else. Instant()
@@ -76,13 +83,23 @@
   bool MayFindUpstream(Instant now) const {
     return upstream.service.empty() && now - found_at < kUpstreamDiscoveryTime;
   }
-  /// Returns true when the sidecar should get only tasks that fit nowhere else.
+  /// Returns true when the sidecar should get no task.
   bool ShouldAvoid(Instant now) const {
-    return now < avoid_until || (IsOnProbation() && IsBusy());
+    return now < avoid_until || (IsOnProbation(now) && IsBusy());
   }
   /// Returns true when the sidecar failed repeatedly and has completed no run
-  /// since. While on probation it is given one task at a time.
-  bool IsOnProbation() const { return avoid_until != Instant(); }
+  /// since, or when it was slow and was not used for a while. While on
+  /// probation it is given one task at a time.
+  bool IsOnProbation(Instant now) const {
+    return avoid_until != Instant() || IsSpeedUnknown(now);
+  }
+  /// Returns true when the sidecar was so slow that it is hardly used, and its
+  /// speed may have changed since.
+  bool IsSpeedUnknown(Instant now) const;
+  /// The run time ratio to assume for a new task.
+  double ExpectedRunTimeRatio(Instant now) const {
+    return IsSpeedUnknown(now) ? 1 : run_time_ratio;
+  }
 
   /// Returns every run that is offered, accepted, unconfirmed or to be stopped,
   /// and clears `offers`, `runs` and `unconfirmed_runs`; `stops` stays.
--- a/filbertwick/core/policy/task_placement.cc
+++ b/filbertwick/core/policy/task_placement.cc
@@ -62,6 +62,7 @@
 
 bool Fits(const PlacementTask& task, const PlacementCandidate& candidate) {
   return candidate.free.Covers(task.needs) &&
+         candidate.run_time_ratio <= task.max_run_time_ratio &&
          (task.required_label.empty() ||
           Has(candidate.labels, task.required_label)) &&
          (task.max_tasks_per_upstream == 0 ||
--- a/filbertwick/core/policy/task_placement.h
+++ b/filbertwick/core/policy/task_placement.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <span>
 #include <string>
@@ -44,6 +45,9 @@
   /// The job fails when this run of the task fails. It is not used to find out
   /// whether an upstream on probation works again.
   bool is_last_attempt = false;
+  /// Candidates with a higher run time ratio are not used, because the task
+  /// would end too late there.
+  double max_run_time_ratio = std::numeric_limits<double>::infinity();
   /// Maximum number of tasks of the step on one upstream; 0 is unlimited.
   size_t max_tasks_per_upstream = 0;
   /// Index of the candidate on which the task failed; it is used only when no
