--- a/filbertwick/core/direct/direct_entry.cc
+++ b/filbertwick/core/direct/direct_entry.cc
@@ -82,7 +82,11 @@
 
 bool DirectEntry::Impl::CanEverFit(Instant now, const DirectJob& job) const {
   const auto views = sidecars_ | std::views::values;
-  return std::ranges::any_of(
+  const auto is_known = [](const SidecarView& view) {
+    return view.incarnation != 0;
+  };
+  return std::ranges::none_of(views, is_known) ||
+         std::ranges::any_of(
              views,
              [&](const SidecarView& it) { return it.MayFindUpstream(now); }) ||
          std::ranges::all_of(job.spec.steps, [&](const JobStep& step) {
--- a/filbertwick/core/direct/direct_entry_impl.h
+++ b/filbertwick/core/direct/direct_entry_impl.h
@@ -73,8 +73,8 @@
   static bool MayHaveRun(const DirectJob& job);
   Duration MaxWait(const JobRequest& spec) const;
   /// Returns false when no known upstream of the job's service can ever run
-  /// some step: each is too small or lacks the label. Returns true as long as
-  /// a sidecar may still find its upstream.
+  /// some step: each is too small or lacks the label. Returns true before the
+  /// first sidecar is heard, and as long as one may still find its upstream.
   bool CanEverFit(Instant now, const DirectJob& job) const;
   void ExpireJobs(Instant now);
 
--- a/unit_tests/direct_entry_test.cc
+++ b/unit_tests/direct_entry_test.cc
@@ -427,3 +427,12 @@
   cr_assert_eq(it.answers.size(), 1);
   cr_assert_eq(it.answers.front().cause, "no_upstream_fits");
 }
+
+Test(direct_entry, keeps_a_job_that_arrives_before_any_sidecar_is_known) {
+  Fixture it;
+  it.entry = DirectEntry::Create(
+      {InstanceName("entry"), 8}, {},
+      [](std::string_view job, size_t, size_t) { return std::string(job); });
+  it.Submit(it.Job("j", 1));
+  cr_assert(it.answers.empty());
+}
