--- a/filbertwick/core/direct/direct_entry_log.cc
+++ b/filbertwick/core/direct/direct_entry_log.cc
@@ -25,14 +25,27 @@
 LogLine DirectEntry::Impl::AddDecisionContext(Instant now,
                                               const DirectJob& job,
                                               LogLine line) const {
-  const auto usable = std::ranges::count_if(
-      sidecars_ | std::views::values, [&](const SidecarView& view) {
-        return IsUsable(now, view) && view.upstream.service == job.spec.service;
-      });
+  int64_t usable = 0;
+  int64_t avoided = 0;
+  int64_t free_cpu = 0;
+  int64_t largest_free_cpu = 0;
+  for (const SidecarView& view : sidecars_ | std::views::values) {
+    if (!IsUsable(now, view) || view.upstream.service != job.spec.service) {
+      continue;
+    }
+    ++usable;
+    avoided += view.ShouldAvoid(now) ? 1 : 0;
+    free_cpu += std::max<int64_t>(view.free.cpu_millis, 0);
+    largest_free_cpu = std::max(largest_free_cpu, view.free.cpu_millis);
+  }
   return std::move(line)
       .Add("service", job.spec.service)
       .Add("places", FormatPlacedTasks(job))
       .Add("usable_upstreams", usable)
+      .Add("avoided_upstreams", avoided)
+      .Add("needs_cpu_millis", job.spec.steps.front().needs.cpu_millis)
+      .Add("free_cpu_millis", free_cpu)
+      .Add("largest_free_cpu_millis", largest_free_cpu)
       .Add("jobs_waiting", static_cast<int64_t>(wait_queue_.size()))
       .Add("time_limit_us", job.spec.time_limit.count())
       .Add("configuration", static_cast<int64_t>(control_.version));
