Let jobs pass one that waits for what they do not need

Cause: found by reading: a placement pass ended at the first waiting job that did not fit, so that a job waiting for a busy service, a label, a large machine, or for the stop of its earlier runs held up all jobs behind it.

Change: a job that waits reserves the upstreams that could run its tasks once they have room; the jobs behind it are placed on the others. A pass ends after 16 jobs that wait on, or when no upstream with room is left. A wide job still gets all that it can use before narrow ones behind it.

Tests: three of the four new ones in direct_entry_test failed before; the wide job's passes before and after.

--- a/filbertwick/core/direct/direct_entry.cc
+++ b/filbertwick/core/direct/direct_entry.cc
@@ -198,7 +198,8 @@
     DirectJob& job = *jobs_.Find(number);
     // From now on, slow upstreams count as soon enough for the job. They are
     // left to jobs that no other upstream had room for.
-    if (PlaceReadyTasks(now, job)) {
+    ReservedSidecars none;
+    if (PlaceReadyTasks(now, job, none)) {
       continue;
     }
     if (MayHaveRun(job)) {
--- a/filbertwick/core/direct/direct_entry_impl.h
+++ b/filbertwick/core/direct/direct_entry_impl.h
@@ -80,9 +80,17 @@
 
   // Placement.
   void PlaceWaitingJobs(Instant now);
-  /// Places the ready tasks for which there is capacity. Returns true when no
-  /// ready task is left.
-  bool PlaceReadyTasks(Instant now, DirectJob& job);
+  /// Upstreams whose next free capacity belongs to a job that comes before the
+  /// present one.
+  using ReservedSidecars = std::set<InstanceName>;
+  /// Places the ready tasks for which there is capacity outside `reserved`.
+  /// Returns true when no ready task is left. Otherwise adds to `reserved` the
+  /// sidecars whose upstreams could run the remaining ones, unless the job only
+  /// waits for earlier runs of its tasks to stop.
+  bool PlaceReadyTasks(Instant now, DirectJob& job, ReservedSidecars& reserved);
+  /// Returns true when a job behind those that wait for `reserved` may find
+  /// free capacity.
+  bool HasRoomOutside(Instant now, const ReservedSidecars& reserved) const;
   /// Returns the highest run time ratio of an upstream on which a task of the
   /// step ends soon enough: in time for the target, or, once the job can no
   /// longer meet it, for an answer that is still of use.
--- a/filbertwick/core/direct/direct_entry_log.cc
+++ b/filbertwick/core/direct/direct_entry_log.cc
@@ -42,11 +42,11 @@
       .Add("service", job.spec.service)
       .Add("places", FormatPlacedTasks(job))
       .Add("usable_upstreams", usable)
+      .Add("jobs_waiting", static_cast<int64_t>(wait_queue_.size()))
       .Add("avoided_upstreams", avoided)
       .Add("needs_cpu_millis", job.spec.steps.front().needs.cpu_millis)
       .Add("free_cpu_millis", free_cpu)
       .Add("largest_free_cpu_millis", largest_free_cpu)
-      .Add("jobs_waiting", static_cast<int64_t>(wait_queue_.size()))
       .Add("time_limit_us", job.spec.time_limit.count())
       .Add("configuration", static_cast<int64_t>(control_.version));
 }
--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -8,6 +8,9 @@
 /// DirectSidecarSettings::resend_interval, so that the sidecar need not resend
 /// them.
 constexpr Duration kAckDelay = std::chrono::milliseconds(12);
+/// A placement pass ends after this many jobs that have to wait on; bounds its
+/// time under overload.
+constexpr size_t kMaxJobsLeftWaiting = 16;
 
 /// Returns the expected time from the start of a step to the end of the last
 /// step that depends on it.
@@ -26,18 +29,34 @@
 
 void DirectEntry::Impl::PlaceWaitingJobs(Instant now) {
   placement_due_ = false;
+  ReservedSidecars reserved;
+  size_t jobs_left_waiting = 0;
   for (const uint64_t number : wait_queue_.InPlacementOrder()) {
     DirectJob& job = *jobs_.Find(number);
-    if (!PlaceReadyTasks(now, job)) {
-      // The first job in the queue gets the next free capacity, so the jobs
-      // behind it are not tried.
-      Enqueue(job);
+    if (PlaceReadyTasks(now, job, reserved)) {
+      wait_queue_.Remove(number);
+      continue;
+    }
+    Enqueue(job);
+    // A job that waits gets the next free capacity that it can use. The jobs
+    // behind it get only what it can't use: other services, machines without
+    // its label, upstreams that are too small or too slow for it.
+    if (++jobs_left_waiting >= kMaxJobsLeftWaiting ||
+        !HasRoomOutside(now, reserved)) {
       break;
     }
-    wait_queue_.Remove(number);
   }
 }
 
+bool DirectEntry::Impl::HasRoomOutside(Instant now,
+                                       const ReservedSidecars& reserved) const {
+  return std::ranges::any_of(
+      sidecars_ | std::views::values, [&](const SidecarView& view) {
+        return view.free.cpu_millis > 0 && IsUsable(now, view) &&
+               !reserved.contains(view.name);
+      });
+}
+
 bool DirectEntry::Impl::IsUsable(Instant now, const SidecarView& view) const {
   return view.accepts_tasks && !IsUnresponsive(now, view) &&
          !zones_out_.contains(view.upstream.zone);
@@ -58,7 +77,9 @@
                   useful_time / static_cast<double>(path.count()));
 }
 
-bool DirectEntry::Impl::PlaceReadyTasks(Instant now, DirectJob& job) {
+bool DirectEntry::Impl::PlaceReadyTasks(Instant now,
+                                        DirectJob& job,
+                                        ReservedSidecars& reserved) {
   std::vector<size_t> ready;
   std::vector<policy::PlacementTask> tasks;
   std::vector<SidecarView*> views;
@@ -68,7 +89,9 @@
       continue;
     }
     views.push_back(&view);
-    candidates.push_back({view.free, view.upstream.capacity,
+    const bool is_reserved = reserved.contains(view.name);
+    candidates.push_back({is_reserved ? Resources() : view.free,
+                          view.upstream.capacity,
                           view.ExpectedRunTimeRatio(now), view.ShouldAvoid(now),
                           view.IsOnProbation(now), view.upstream.labels,
                           static_cast<size_t>(std::ranges::count_if(
@@ -110,6 +133,12 @@
     if (places[n]) {
       placed.push_back(ready[n]);
       chosen.push_back(views[*places[n]]);
+      continue;
+    }
+    for (size_t k = 0; k < views.size(); ++k) {
+      if (policy::CouldTake(tasks[n], candidates[k])) {
+        reserved.insert(views[k]->name);
+      }
     }
   }
   SendOffers(now, job, placed, chosen);
--- a/filbertwick/core/policy/task_placement.cc
+++ b/filbertwick/core/policy/task_placement.cc
@@ -85,6 +85,12 @@
 
 }  // namespace
 
+bool CouldTake(const PlacementTask& task, const PlacementCandidate& candidate) {
+  PlacementCandidate idle = candidate;
+  idle.free = candidate.capacity;
+  return Fits(task, idle) && IsAcceptable(task, idle);
+}
+
 std::vector<std::optional<size_t>> PlaceTasks(
     std::span<const PlacementTask> tasks,
     std::span<const PlacementCandidate> candidates,
--- a/filbertwick/core/policy/task_placement.h
+++ b/filbertwick/core/policy/task_placement.h
@@ -55,6 +55,10 @@
   std::optional<size_t> avoided_candidate;
 };
 
+/// Returns true when the candidate could run the task once it has enough free
+/// resources.
+bool CouldTake(const PlacementTask& task, const PlacementCandidate& candidate);
+
 /// Selects upstreams for tasks of one job. Each task goes to the candidate with
 /// the lowest score: the expected run time, increased with the load of the
 /// candidate, so that entries with the same view do not all select the fastest
--- a/unit_tests/direct_entry_test.cc
+++ b/unit_tests/direct_entry_test.cc
@@ -64,6 +64,14 @@
                        std::vector<OfferReply> replies,
                        std::vector<RunEnd> ends,
                        int64_t free_tasks = 2) {
+    SidecarMessage message = MessageFrom(n, free_tasks);
+    message.replies = std::move(replies);
+    message.ends = std::move(ends);
+    Deliver(message);
+  }
+
+  /// Returns a message of sidecar `n` with capacity for `free_tasks` tasks.
+  SidecarMessage MessageFrom(size_t n, int64_t free_tasks) const {
     SidecarMessage message;
     message.from = {InstanceName(n == 0 ? "s0" : "s1"), 3};
     message.to_incarnation = 7;
@@ -74,8 +82,10 @@
     message.upstream.zone = ZoneName(n == 0 ? "z0" : "z1");
     message.upstream.capacity = {2 * kTaskCpu, 100, 0};
     message.free = {free_tasks * kTaskCpu, 100, 0};
-    message.replies = std::move(replies);
-    message.ends = std::move(ends);
+    return message;
+  }
+
+  void Deliver(const SidecarMessage& message) {
     EntryEffects effects;
     entry->OnMessage(now, message, effects);
     Collect(effects);
@@ -436,3 +446,68 @@
   it.Submit(it.Job("j", 1));
   cr_assert(it.answers.empty());
 }
+
+// A deployment with two services: a burst at one must not hold up the other.
+Test(direct_entry, jobs_of_another_service_pass_a_job_that_waits) {
+  Fixture it;
+  it.SendFromSidecar(0, {}, {}, 0);
+  SidecarMessage other = it.MessageFrom(1, 2);
+  other.upstream.service = "other";
+  it.Deliver(other);
+  it.Submit(it.Job("waits", 1));
+  cr_assert(it.offers.empty());
+  JobRequest job = it.Job("passes", 1);
+  job.service = "other";
+  it.Submit(job);
+  cr_assert_eq(it.offers.size(), 1);
+  cr_assert_eq(it.offers.front().first, 1);
+}
+
+Test(direct_entry, jobs_pass_one_that_waits_for_a_label) {
+  Fixture it;
+  SidecarMessage labelled = it.MessageFrom(0, 0);
+  labelled.upstream.labels = {"gpu"};
+  it.Deliver(labelled);
+  JobRequest waits = it.Job("waits", 1);
+  waits.steps.front().required_label = "gpu";
+  it.Submit(waits);
+  it.Submit(it.Job("passes", 1));
+  cr_assert_eq(it.offers.size(), 1);
+  cr_assert_eq(it.offers.front().first, 1);
+  // The labelled upstream is left to the job that can run nowhere else.
+  it.offers.clear();
+  it.SendFromSidecar(1, {}, {}, 0);
+  it.Submit(it.Job("behind", 1));
+  labelled.clock += 1;
+  labelled.free = {kTaskCpu, 100, 0};
+  it.Deliver(labelled);
+  cr_assert_eq(it.offers.size(), 1);
+  cr_assert_eq(it.offers.front().second.tasks.front().run.task, "waits.0.0");
+}
+
+// A resent job whose first runs are still being stopped.
+Test(direct_entry, jobs_pass_one_that_waits_for_a_stop) {
+  Fixture it;
+  it.Submit(it.Job("j", 1));
+  it.AcceptOffers();
+  EntryEffects effects;
+  it.entry->OnCallerGone(it.now, 1, effects);
+  it.Collect(effects);
+  it.Submit(it.Job("j", 1));
+  it.Submit(it.Job("k", 1));
+  cr_assert_eq(it.offers.size(), 1);
+  cr_assert_eq(it.offers.front().second.tasks.front().run.task, "k.0.0");
+}
+
+// Narrow jobs behind a wide one must not take the capacity that it waits for.
+Test(direct_entry, a_wide_job_is_not_starved_by_narrow_ones) {
+  Fixture it;
+  it.Submit(it.Job("wide", 5));
+  it.AcceptOffers(0);
+  it.Submit(it.Job("narrow", 1));
+  cr_assert(it.offers.empty());
+  it.SendFromSidecar(1, {}, {}, 1);
+  cr_assert_eq(it.offers.size(), 1);
+  cr_assert_eq(it.offers.front().second.tasks.front().run.task.substr(0, 4),
+               "wide");
+}
