--- a/unit_tests/load_replay_test.cc
+++ b/unit_tests/load_replay_test.cc
@@ -96,3 +96,30 @@
       Replay(0.8, {{Type::kLateCommands, 2 * kSecond, 6 * kSecond, 0.3}});
   cr_assert_geq(figures.worth, 0.95, "%f", figures.worth);
 }
+
+// Two of eleven upstreams take five times as long at a load that the others can
+// hardly carry. A slow upstream always has room.
+Test(load_replay, keeps_jobs_off_slow_upstreams_that_would_be_late_there) {
+  const Figures figures =
+      Replay(1.05, {{Type::kSlow, 2 * kSecond, 6 * kSecond, 5.4, 2}});
+  cr_assert_leq(figures.total.late, figures.total.asked / 20, "%u of %u",
+                figures.total.late, figures.total.asked);
+}
+
+// All entries and sidecars lose power for half a second while their upstreams
+// run on, which announce themselves within 1.5 s only.
+Test(load_replay, has_its_capacity_back_soon_after_a_power_loss) {
+  constexpr Duration kLossAt = 4 * kSecond;
+  constexpr Duration kDowntime = std::chrono::milliseconds(500);
+  constexpr Duration kReturn = std::chrono::milliseconds(150);
+  LoadPattern pattern = TicketSalesLoad(1.4);
+  pattern.events = {{Type::kPowerLoss, kLossAt, kDowntime, 0}};
+  const LoadResult result = ReplayLoad(pattern);
+  cr_assert_eq(result.violations, 0);
+  const auto sample = static_cast<size_t>(
+      (kLossAt + kDowntime + kReturn) / filbertwick::harness::kSampleInterval);
+  cr_assert_geq(result.used_cpu_millis[sample] * 10,
+                result.present_cpu_millis[sample] * 9, "%ld of %ld",
+                result.used_cpu_millis[sample],
+                result.present_cpu_millis[sample]);
+}
