--- a/filbertwick/core/direct/direct_entry.cc
+++ b/filbertwick/core/direct/direct_entry.cc
@@ -22,6 +22,12 @@
   return static_cast<uint64_t>(std::max<int64_t>(units, 1));
 }
 
+/// Returns true when the upstream has the label, or when it is empty.
+bool HasLabel(const UpstreamProfile& upstream, std::string_view label) {
+  return label.empty() ||
+         std::ranges::find(upstream.labels, label) != upstream.labels.end();
+}
+
 }  // namespace
 
 void DirectEntry::Impl::OnJob(Instant now, WallTime wall, JobRequest spec) {
@@ -37,7 +43,8 @@
   job.arrived = now;
   job.deadline = now + spec.time_limit;
   job.place_by = now + MaxWait(spec);
-  job.next_run_number = FirstRunNumber(wall);
+  job.next_run_number =
+      recent_run_numbers_.AtLeast(spec.id, FirstRunNumber(wall));
   for (size_t step = 0; step < spec.steps.size(); ++step) {
     for (size_t index = 0; index < spec.steps[step].count; ++index) {
       JobTask task;
@@ -49,7 +56,7 @@
   job.spec = std::move(spec);
   DirectJob& added = jobs_.Add(std::move(job));
   deadlines_.emplace(added.deadline, added.number);
-  if (!CanEverFit(added)) {
+  if (!CanEverFit(now, added)) {
     Refuse(now, added, "no_upstream_fits");
     return;
   }
@@ -73,16 +80,20 @@
                   std::max(spec.target - spec.expected, min_wait));
 }
 
-bool DirectEntry::Impl::CanEverFit(const DirectJob& job) const {
+bool DirectEntry::Impl::CanEverFit(Instant now, const DirectJob& job) const {
+  const auto views = sidecars_ | std::views::values;
   const auto is_known = [](const SidecarView& view) {
     return view.incarnation != 0;
   };
-  const auto views = sidecars_ | std::views::values;
   return std::ranges::none_of(views, is_known) ||
+         std::ranges::any_of(
+             views,
+             [&](const SidecarView& it) { return it.MayFindUpstream(now); }) ||
          std::ranges::all_of(job.spec.steps, [&](const JobStep& step) {
            return std::ranges::any_of(views, [&](const SidecarView& view) {
              return view.upstream.service == job.spec.service &&
-                    view.upstream.capacity.Covers(step.needs);
+                    view.upstream.capacity.Covers(step.needs) &&
+                    HasLabel(view.upstream, step.required_label);
            });
          });
 }
@@ -167,6 +178,7 @@
       StopRun(now, sidecars_.at(task.sidecar), {task.name, task.run});
     }
   }
+  recent_run_numbers_.Record(now, job.spec.id, job.next_run_number);
   wait_queue_.Remove(job.number);
   deadlines_.erase({job.deadline, job.number});
   jobs_.Remove(job.number);
@@ -183,7 +195,18 @@
 
 void DirectEntry::Impl::ExpireJobs(Instant now) {
   for (const uint64_t number : wait_queue_.TakeExpired(now)) {
-    Refuse(now, *jobs_.Find(number), "no_room_in_time");
+    DirectJob& job = *jobs_.Find(number);
+    // From now on, slow upstreams count as soon enough for the job. They are
+    // left to jobs that no other upstream had room for.
+    ReservedSidecars none;
+    if (PlaceReadyTasks(now, job, none)) {
+      continue;
+    }
+    if (MayHaveRun(job)) {
+      Enqueue(job);
+    } else {
+      Refuse(now, job, "no_room_in_time");
+    }
   }
   while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
     DirectJob& job = *jobs_.Find(deadlines_.begin()->second);
@@ -199,6 +222,7 @@
     const auto [it, added] = sidecars_.try_emplace(name);
     if (added) {
       it->second.name = name;
+      it->second.found_at = now;
       it->second.heartbeat_due = now;
     }
   }
--- a/filbertwick/core/direct/direct_entry_impl.h
+++ b/filbertwick/core/direct/direct_entry_impl.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cassert>
 #include <iterator>
+#include <limits>
 #include <map>
 #include <ranges>
 #include <utility>
@@ -13,6 +14,7 @@
 
 #include "filbertwick/core/direct/direct_entry.h"
 #include "filbertwick/core/direct/direct_job_table.h"
+#include "filbertwick/core/direct/recent_run_numbers.h"
 #include "filbertwick/core/direct/sidecar_view.h"
 #include "filbertwick/core/policy/retry_after_estimator.h"
 #include "filbertwick/core/policy/task_placement.h"
@@ -70,17 +72,29 @@
   /// running now, or DirectJob::started is set.
   static bool MayHaveRun(const DirectJob& job);
   Duration MaxWait(const JobRequest& spec) const;
-  /// Returns false when some step needs more than the total capacity of every
-  /// known upstream of the job's service. Returns true while no sidecar has
-  /// reported its upstream.
-  bool CanEverFit(const DirectJob& job) const;
+  /// Returns false when no known upstream of the job's service can ever run
+  /// some step: each is too small or lacks the label. Returns true before the
+  /// first sidecar is heard, and as long as one may still find its upstream.
+  bool CanEverFit(Instant now, const DirectJob& job) const;
   void ExpireJobs(Instant now);
 
   // Placement.
   void PlaceWaitingJobs(Instant now);
-  /// Places the ready tasks for which there is capacity. Returns true when no
-  /// ready task is left.
-  bool PlaceReadyTasks(Instant now, DirectJob& job);
+  /// Upstreams whose next free capacity belongs to a job that comes before the
+  /// present one.
+  using ReservedSidecars = std::set<InstanceName>;
+  /// Places the ready tasks for which there is capacity outside `reserved`.
+  /// Returns true when no ready task is left. Otherwise adds to `reserved` the
+  /// sidecars whose upstreams could run the remaining ones, unless the job only
+  /// waits for earlier runs of its tasks to stop.
+  bool PlaceReadyTasks(Instant now, DirectJob& job, ReservedSidecars& reserved);
+  /// Returns true when a job behind those that wait for `reserved` may find
+  /// free capacity.
+  bool HasRoomOutside(Instant now, const ReservedSidecars& reserved) const;
+  /// Returns the highest run time ratio of an upstream on which a task of the
+  /// step ends soon enough: in time for the target, or, once the job can no
+  /// longer meet it, for an answer that is still of use.
+  double MaxRunTimeRatio(Instant now, const DirectJob& job, size_t step) const;
   bool IsUsable(Instant now, const SidecarView& view) const;
   bool IsUnresponsive(Instant now, const SidecarView& view) const {
     return view.unanswered_since < now - settings_.reply_timeout;
@@ -91,7 +105,7 @@
                   std::span<SidecarView* const> places);
 
   // Sidecars.
-  void BeginIncarnation(SidecarView& view, uint64_t incarnation);
+  void BeginIncarnation(Instant now, SidecarView& view, uint64_t incarnation);
   void HandleReply(Instant now, SidecarView& view, const OfferReply& reply);
   void HandleRefusal(const TaskRun& run, Refusal refusal);
   void HandleEnd(Instant now, SidecarView& view, const RunEnd& end);
@@ -128,6 +142,7 @@
   /// one per run. When the caller resends such a job, its tasks have the same
   /// names and are not placed as long as their names are here.
   std::multiset<std::string> stopping_tasks_;
+  RecentRunNumbers recent_run_numbers_;
   std::set<ZoneName> zones_out_;
   ControlPosition control_;
   uint64_t last_job_number_ = 0;
--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -8,29 +8,78 @@
 /// DirectSidecarSettings::resend_interval, so that the sidecar need not resend
 /// them.
 constexpr Duration kAckDelay = std::chrono::milliseconds(12);
+/// A placement pass ends after this many jobs that have to wait on; bounds its
+/// time under overload.
+constexpr size_t kMaxJobsLeftWaiting = 16;
+
+/// Returns the expected time from the start of a step to the end of the last
+/// step that depends on it.
+Duration LongestPathFrom(const JobRequest& job, size_t step) {
+  Duration longest(0);
+  for (size_t later = step + 1; later < job.steps.size(); ++later) {
+    const auto& after = job.steps[later].after;
+    if (std::ranges::find(after, step) != after.end()) {
+      longest = std::max(longest, LongestPathFrom(job, later));
+    }
+  }
+  return job.steps[step].estimate + longest;
+}
 
 }  // namespace
 
 void DirectEntry::Impl::PlaceWaitingJobs(Instant now) {
   placement_due_ = false;
+  ReservedSidecars reserved;
+  size_t jobs_left_waiting = 0;
   for (const uint64_t number : wait_queue_.InPlacementOrder()) {
     DirectJob& job = *jobs_.Find(number);
-    if (!PlaceReadyTasks(now, job)) {
-      // The first job in the queue gets the next free capacity, so the jobs
-      // behind it are not tried.
-      Enqueue(job);
+    if (PlaceReadyTasks(now, job, reserved)) {
+      wait_queue_.Remove(number);
+      continue;
+    }
+    Enqueue(job);
+    // A job that waits gets the next free capacity that it can use. The jobs
+    // behind it get only what it can't use: other services, machines without
+    // its label, upstreams that are too small or too slow for it.
+    if (++jobs_left_waiting >= kMaxJobsLeftWaiting ||
+        !HasRoomOutside(now, reserved)) {
       break;
     }
-    wait_queue_.Remove(number);
   }
 }
 
+bool DirectEntry::Impl::HasRoomOutside(Instant now,
+                                       const ReservedSidecars& reserved) const {
+  return std::ranges::any_of(
+      sidecars_ | std::views::values, [&](const SidecarView& view) {
+        return view.free.cpu_millis > 0 && IsUsable(now, view) &&
+               !reserved.contains(view.name);
+      });
+}
+
 bool DirectEntry::Impl::IsUsable(Instant now, const SidecarView& view) const {
   return view.accepts_tasks && !IsUnresponsive(now, view) &&
          !zones_out_.contains(view.upstream.zone);
 }
 
-bool DirectEntry::Impl::PlaceReadyTasks(Instant now, DirectJob& job) {
+double DirectEntry::Impl::MaxRunTimeRatio(Instant now,
+                                          const DirectJob& job,
+                                          size_t step) const {
+  const Duration path = LongestPathFrom(job.spec, step);
+  if (path <= Duration(0)) {
+    return std::numeric_limits<double>::infinity();
+  }
+  const double lateness = now < job.place_by ? 1 : settings_.max_lateness;
+  const auto useful_time =
+      static_cast<double>(job.spec.target.count()) * lateness -
+      static_cast<double>((now - job.arrived).count());
+  return std::max(kNormalRunTimeRatio,
+                  useful_time / static_cast<double>(path.count()));
+}
+
+bool DirectEntry::Impl::PlaceReadyTasks(Instant now,
+                                        DirectJob& job,
+                                        ReservedSidecars& reserved) {
   std::vector<size_t> ready;
   std::vector<policy::PlacementTask> tasks;
   std::vector<SidecarView*> views;
@@ -40,9 +89,11 @@
       continue;
     }
     views.push_back(&view);
-    candidates.push_back({view.free, view.upstream.capacity,
-                          view.run_time_ratio, view.ShouldAvoid(now),
-                          view.IsOnProbation(), view.upstream.labels,
+    const bool is_reserved = reserved.contains(view.name);
+    candidates.push_back({is_reserved ? Resources() : view.free,
+                          view.upstream.capacity,
+                          view.ExpectedRunTimeRatio(now), view.ShouldAvoid(now),
+                          view.IsOnProbation(now), view.upstream.labels,
                           static_cast<size_t>(std::ranges::count_if(
                               job.tasks, [&](const JobTask& task) {
                                 return task.phase == TaskPhase::kPlaced &&
@@ -59,8 +110,12 @@
       return false;
     }
     const JobStep& step = job.spec.steps[task.step];
-    policy::PlacementTask item = {step.needs, step.required_label,
-                                  step.data_rack, step.max_tasks_per_upstream,
+    policy::PlacementTask item = {step.needs,
+                                  step.required_label,
+                                  step.data_rack,
+                                  task.failures + 1 >= job.spec.max_attempts,
+                                  MaxRunTimeRatio(now, job, task.step),
+                                  step.max_tasks_per_upstream,
                                   std::nullopt};
     const auto last = std::ranges::find_if(views, [&](const SidecarView* view) {
       return view->name == task.sidecar;
@@ -78,6 +133,12 @@
     if (places[n]) {
       placed.push_back(ready[n]);
       chosen.push_back(views[*places[n]]);
+      continue;
+    }
+    for (size_t k = 0; k < views.size(); ++k) {
+      if (policy::CouldTake(tasks[n], candidates[k])) {
+        reserved.insert(views[k]->name);
+      }
     }
   }
   SendOffers(now, job, placed, chosen);
@@ -88,6 +149,9 @@
                                    DirectJob& job,
                                    std::span<const size_t> tasks,
                                    std::span<SidecarView* const> places) {
+  if (tasks.empty()) {
+    return;
+  }
   // Ordered by name, so that the order of messages is deterministic.
   std::map<InstanceName, Offer> offers;
   for (size_t n = 0; n < tasks.size(); ++n) {
@@ -110,7 +174,7 @@
     offer.id = id;
     offer.spec = job.spec.spec;
     offer.service = job.spec.service;
-    view.offers[id] = {std::move(offer), now};
+    view.offers[id] = {std::move(offer), {}, now};
     view.send_due = true;
   }
 }
@@ -130,7 +194,7 @@
     return;
   }
   if (message.from.incarnation != view.incarnation) {
-    BeginIncarnation(view, message.from.incarnation);
+    BeginIncarnation(now, view, message.from.incarnation);
   }
   for (const RunEnd& end : message.ends) {
     if (end.number > view.acknowledged_end) {
@@ -160,7 +224,9 @@
   view.free = message.free;
   for (const OpenOffer& open : view.offers | std::views::values) {
     for (const OfferedTask& task : open.offer.tasks) {
-      view.free -= task.needs;
+      if (!open.ended.contains(task.run)) {
+        view.free -= task.needs;
+      }
     }
   }
   if (view.accepts_tasks) {
@@ -171,7 +237,8 @@
   placement_due_ = true;
 }
 
-void DirectEntry::Impl::BeginIncarnation(SidecarView& view,
+void DirectEntry::Impl::BeginIncarnation(Instant now,
+                                         SidecarView& view,
                                          uint64_t incarnation) {
   if (view.incarnation != 0) {
     effects_.push_back(
@@ -181,6 +248,7 @@
   }
   view.unconfirmed_runs = view.TakeUnfinishedRuns();
   view.incarnation = incarnation;
+  view.found_at = now;
   view.clock = 0;
   view.accepts_tasks = false;
   view.acknowledged_end = 0;
@@ -195,10 +263,13 @@
   if (it == view.offers.end()) {
     return;
   }
-  const Offer offer = std::move(it->second.offer);
+  const OpenOffer open = std::move(it->second);
   view.offers.erase(it);
-  for (size_t n = 0; n < offer.tasks.size(); ++n) {
-    const TaskRun& run = offer.tasks[n].run;
+  for (size_t n = 0; n < open.offer.tasks.size(); ++n) {
+    const TaskRun& run = open.offer.tasks[n].run;
+    if (open.ended.contains(run)) {
+      continue;
+    }
     const Refusal refusal =
         n < reply.refusals.size() ? reply.refusals[n] : Refusal::kNotAccepting;
     if (refusal != Refusal::kNone) {
@@ -254,8 +325,11 @@
   placement_due_ |= RemoveStop(view, end.run);
   // The end may arrive before the reply to the offer.
   for (OpenOffer& open : view.offers | std::views::values) {
-    std::erase_if(open.offer.tasks,
-                  [&](const OfferedTask& task) { return task.run == end.run; });
+    if (std::ranges::any_of(open.offer.tasks, [&](const OfferedTask& task) {
+          return task.run == end.run;
+        })) {
+      open.ended.insert(end.run);
+    }
   }
   const auto ref = jobs_.FindRun(end.run);
   if (!ref) {
--- a/filbertwick/core/direct/direct_settings.h
+++ b/filbertwick/core/direct/direct_settings.h
@@ -38,6 +38,11 @@
   /// Time until an unanswered command to the upstream counts as failed; a local
   /// call takes about a millisecond.
   Duration command_timeout = std::chrono::milliseconds(30);
+  /// Time after which an unanswered start command is sent again. The upstream
+  /// starts a run at most once, however often it is told to.
+  Duration start_resend_interval = std::chrono::milliseconds(10);
+  /// How often a start command is sent before it counts as failed.
+  uint32_t max_start_sends = 3;
   /// How long the upstream may hold a listing open while it waits for a run to
   /// end. A listing that is never answered delays the detection of all ends by
   /// as much. This is about the time between two ends at a busy upstream; a
@@ -46,6 +51,11 @@
   /// Time beyond its wait until an unanswered listing counts as failed; equal
   /// to command_timeout.
   Duration listing_timeout_margin = std::chrono::milliseconds(30);
+  /// The same two times for a second after an unanswered listing. While answers
+  /// are lost, shorter listings detect ends sooner; otherwise they only cost
+  /// calls.
+  Duration short_listing_wait = std::chrono::milliseconds(8);
+  Duration short_listing_timeout_margin = std::chrono::milliseconds(12);
   /// Pause after a failed call; keeps retries to a dead upstream from using up
   /// the processor.
   Duration retry_delay = std::chrono::milliseconds(20);
@@ -79,6 +89,9 @@
   /// latency, even if its run time leaves less: capacity is freed within the
   /// run time of a short task.
   double min_wait_fraction = 0.25;
+  /// An answer later than this multiple of the target latency is of no use to
+  /// the caller.
+  double max_lateness = 3;
   /// Most waiting jobs. When the queue is full, either the last job in it or
   /// the new one is refused. Bounds memory and the time of one placement pass.
   size_t max_waiting_jobs = 512;
--- a/filbertwick/core/direct/direct_sidecar.cc
+++ b/filbertwick/core/direct/direct_sidecar.cc
@@ -62,7 +62,10 @@
       run.needs = task.needs;
       run.estimate = Duration(task.estimate_micros);
       run.owner = session.entry;
-      StartTask(now, run_table_.Insert(std::move(run)), offer.spec);
+      run.spec = offer.spec;
+      run.start_sent_at = now;
+      run.progressed_at = now;
+      SendStartCommand(now, run_table_.Insert(std::move(run)));
     }
   }
   SessionTable::AddReply(session, std::move(reply));
@@ -162,6 +165,10 @@
   if (!upstream_ || state_ == UpstreamState::kNoUpstream) {
     return;
   }
+  if (now >= restore_deadline_) {
+    DropRestoredUpstream("no_answer");
+    return;
+  }
   CheckCommandTimeouts(now);
   CheckListingTimeouts(now);
   CheckLease(now);
@@ -182,6 +189,7 @@
   if (!upstream_ || state_ == UpstreamState::kNoUpstream) {
     return next;
   }
+  note_due(restore_deadline_);
   for (const ActiveRun& run : run_table_.runs() | std::views::values) {
     if (run.phase == RunPhase::kStopping || run.pending_command != 0) {
       note_due(run.command_due);
@@ -263,6 +271,13 @@
   impl_->FlushEffects(now, effects);
 }
 
+void DirectSidecar::RestoreUpstream(Instant now,
+                                    const UpstreamAnnouncement& recorded,
+                                    SidecarEffects& effects) {
+  impl_->RestoreUpstream(now, recorded);
+  impl_->FlushEffects(now, effects);
+}
+
 void DirectSidecar::OnUpstreamLeft(Instant now,
                                    std::string_view id,
                                    SidecarEffects& effects) {
--- a/filbertwick/core/direct/direct_sidecar_upstream.cc
+++ b/filbertwick/core/direct/direct_sidecar_upstream.cc
@@ -14,6 +14,11 @@
 /// Interval of listings while foreign runs are stopped; they take about as long
 /// to end.
 constexpr Duration kSyncListingInterval = std::chrono::milliseconds(20);
+/// How long listings stay short after one that was not answered.
+constexpr Duration kShortListingPeriod = std::chrono::seconds(1);
+/// Time within which a restored upstream must answer; longer than the interval
+/// at which a live one announces itself.
+constexpr Duration kRestoreTimeout = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -30,18 +35,79 @@
   if (!upstream_ || announcement.id != upstream_->id ||
       announcement.started_unix_millis != upstream_->started_unix_millis) {
     BeginIncarnation(now, announcement);
+    RecordUpstream();
     return;
   }
+  // An announcement proves as much as a listing.
+  restore_deadline_ = Instant::max();
   upstream_->sequence = announcement.sequence;
   RecordUpstreamClock(now, announcement.clock);
-  if (announcement.draining && !upstream_->draining) {
+  const bool begins_draining = announcement.draining && !upstream_->draining;
+  const bool changes_profile =
+      !upstream_->has_profile || upstream_->profile != announcement.profile;
+  if (begins_draining) {
     upstream_->draining = true;
     effects_.push_back(
         LogLine("upstream_draining").Add("upstream", upstream_->id));
+  }
+  if (changes_profile) {
+    upstream_->has_profile = true;
+    upstream_->profile = announcement.profile;
+    run_table_.SetCapacity(announcement.profile.capacity);
+    LogProfile("upstream_profile");
+  }
+  if (begins_draining || changes_profile) {
+    RecordUpstream();
     NotifyAllEntries();
   }
 }
 
+void DirectSidecar::Impl::RestoreUpstream(
+    Instant now,
+    const UpstreamAnnouncement& recorded) {
+  if (upstream_ || recorded.draining || recorded.started_unix_millis == 0) {
+    return;
+  }
+  UpstreamAnnouncement silent = recorded;
+  silent.sequence = 0;
+  silent.clock = 0;
+  BeginIncarnation(now, silent);
+  restore_deadline_ = now + kRestoreTimeout;
+}
+
+void DirectSidecar::Impl::DropRestoredUpstream(std::string_view cause) {
+  effects_.push_back(LogLine("recorded_upstream_dropped")
+                         .Add("upstream", upstream_->id)
+                         .Add("born", upstream_->started_unix_millis)
+                         .Add("cause", cause));
+  restore_deadline_ = Instant::max();
+  state_ = UpstreamState::kNoUpstream;
+  upstream_.reset();
+  listings_.clear();
+  pending_commands_.clear();
+}
+
+void DirectSidecar::Impl::RecordUpstream() {
+  RecordUpstreamEffect record;
+  if (state_ != UpstreamState::kNoUpstream) {
+    UpstreamAnnouncement& upstream = record.upstream.emplace();
+    upstream.id = upstream_->id;
+    upstream.started_unix_millis = upstream_->started_unix_millis;
+    upstream.draining = upstream_->draining;
+    upstream.profile = upstream_->profile;
+  }
+  effects_.emplace_back(std::move(record));
+}
+
+void DirectSidecar::Impl::LogProfile(std::string_view event) {
+  const UpstreamProfile& profile = upstream_->profile;
+  effects_.push_back(LogLine(event)
+                         .Add("upstream", upstream_->id)
+                         .Add("service", profile.service)
+                         .Add("born", upstream_->started_unix_millis)
+                         .Add("cpu_millis", profile.capacity.cpu_millis));
+}
+
 void DirectSidecar::Impl::BeginIncarnation(
     Instant now,
     const UpstreamAnnouncement& announcement) {
@@ -54,6 +120,7 @@
     ReportLostRuns(now);
   }
   ++fencing_token_;
+  restore_deadline_ = Instant::max();
   upstream_.emplace();
   upstream_->id = announcement.id;
   upstream_->started_unix_millis = announcement.started_unix_millis;
@@ -63,15 +130,26 @@
   run_table_.SetCapacity(announcement.profile.capacity);
   pending_commands_.clear();
   RecordUpstreamClock(now, announcement.clock);
-  effects_.push_back(
-      LogLine("upstream_found")
-          .Add("upstream", announcement.id)
-          .Add("service", announcement.profile.service)
-          .Add("born", announcement.started_unix_millis)
-          .Add("cpu_millis", announcement.profile.capacity.cpu_millis));
+  LogProfile("upstream_found");
   BeginSync(now);
 }
 
+void DirectSidecar::Impl::BeginUnannouncedIncarnation(
+    Instant now,
+    int64_t started_unix_millis,
+    UpstreamMillis clock) {
+  effects_.push_back(LogLine("upstream_reborn")
+                         .Add("upstream", upstream_->id)
+                         .Add("born", started_unix_millis));
+  UpstreamAnnouncement restarted;
+  restarted.id = upstream_->id;
+  restarted.started_unix_millis = started_unix_millis;
+  restarted.profile = upstream_->profile;
+  restarted.clock = clock;
+  BeginIncarnation(now, restarted);
+  upstream_->has_profile = false;
+}
+
 void DirectSidecar::Impl::OnUpstreamLeft(Instant now, std::string_view id) {
   if (!upstream_ || upstream_->id != id) {
     return;
@@ -80,8 +158,10 @@
   DropAllRuns(now);
   state_ = UpstreamState::kNoUpstream;
   upstream_->draining = true;
+  restore_deadline_ = Instant::max();
   listings_.clear();
   pending_commands_.clear();
+  RecordUpstream();
   NotifyAllEntries();
 }
 
@@ -136,16 +216,15 @@
          std::chrono::duration_cast<std::chrono::milliseconds>(until).count();
 }
 
-void DirectSidecar::Impl::StartTask(Instant now,
-                                    ActiveRun& run,
-                                    const std::string& spec) {
-  run.start_sent_at = now;
-  run.progressed_at = now;
-  run.command_due = now + settings_.command_timeout;
+void DirectSidecar::Impl::SendStartCommand(Instant now, ActiveRun& run) {
+  ++run.start_sends;
+  run.command_due = now + (run.start_sends < settings_.max_start_sends
+                               ? settings_.start_resend_interval
+                               : settings_.command_timeout);
   StartCommand command;
   command.header = NextHeader();
   command.run = run.id;
-  command.spec = spec;
+  command.spec = run.spec;
   command.lease_until = ExtendLease(now);
   run.pending_command = command.header.number;
   pending_commands_.emplace(run.pending_command, run.id);
@@ -155,6 +234,18 @@
   }
 }
 
+void DirectSidecar::Impl::RetryStart(Instant now, ActiveRun& run) {
+  effects_.push_back(LogLine("start_unanswered")
+                         .Add("task", run.id.task)
+                         .Add("sends", run.start_sends));
+  if (run.start_sends < settings_.max_start_sends) {
+    SendStartCommand(now, run);
+  } else {
+    // An upstream that has accepted a stop of the run refuses to start it.
+    BeginStop(now, run);
+  }
+}
+
 void DirectSidecar::Impl::BeginStop(Instant now, ActiveRun& run) {
   if (run.phase == RunPhase::kStopping) {
     return;
@@ -197,7 +288,11 @@
   pending_commands_.erase(it);
   RecordUpstreamClock(now, clock);
   ActiveRun* run = run_table_.FindRun(id);
-  if (run == nullptr || run->pending_command != number) {
+  // Answers to earlier commands for the run count only when they prove that its
+  // start was carried out.
+  if (run == nullptr || (run->pending_command != number &&
+                         (run->phase != RunPhase::kStarting ||
+                          result != CommandResult::kAccepted))) {
     return;
   }
   run->pending_command = 0;
@@ -218,24 +313,33 @@
     }
     return;
   }
-  switch (result) {
-    case CommandResult::kAccepted:
-      run->phase = RunPhase::kRunning;
-      run->seen_running = true;
-      run->is_confirmed = true;
-      run->confirmed_at = now;
-      break;
-    case CommandResult::kUnknown:
-      // The start may still be carried out. An upstream that has accepted a
-      // stop of the run refuses to start it.
-      effects_.push_back(LogLine("start_unanswered").Add("task", id.task));
-      BeginStop(now, *run);
-      break;
-    default:
-      effects_.push_back(LogLine("start_refused")
-                             .Add("task", id.task)
-                             .Add("answer", ToString(result)));
-      EndRun(now, id, EndKind::kNotStarted);
+  OnStartAnswered(now, *run, result);
+}
+
+void DirectSidecar::Impl::OnStartAnswered(Instant now,
+                                          ActiveRun& run,
+                                          CommandResult result) {
+  if (result == CommandResult::kUnknown) {
+    RetryStart(now, run);
+    return;
+  }
+  run.spec.clear();
+  if (result == CommandResult::kAccepted) {
+    run.phase = RunPhase::kRunning;
+    run.seen_running = true;
+    run.is_confirmed = true;
+    run.confirmed_at = now;
+    return;
+  }
+  effects_.push_back(LogLine("start_refused")
+                         .Add("task", run.id.task)
+                         .Add("answer", ToString(result)));
+  if (run.start_sends > 1) {
+    // An earlier command may have started the run, which may even have ended.
+    // Listings after a confirmed stop tell.
+    BeginStop(now, run);
+  } else {
+    EndRun(now, run.id, EndKind::kNotStarted);
   }
 }
 
@@ -249,8 +353,11 @@
   command.wait = syncing ? Duration(0) : wait;
   command.lease_until = renews ? ExtendLease(now) : 0;
   const bool long_wait = command.wait > Duration(0);
-  listings_[command.header.number] = {
-      now, now + command.wait + settings_.listing_timeout_margin, long_wait};
+  const Duration margin = now < short_listings_until_
+                              ? settings_.short_listing_timeout_margin
+                              : settings_.listing_timeout_margin;
+  listings_[command.header.number] = {now, now + command.wait + margin,
+                                      long_wait};
   effects_.emplace_back(std::move(command));
 }
 
@@ -264,7 +371,9 @@
         return listing.long_wait || state_ == UpstreamState::kSyncing;
       });
   if (is_needed && !listing_pending && now >= next_listing_) {
-    SendListCommand(now, settings_.listing_wait);
+    SendListCommand(now, now < short_listings_until_
+                             ? settings_.short_listing_wait
+                             : settings_.listing_wait);
   }
 }
 
@@ -282,19 +391,20 @@
   if (listing.started_unix_millis != 0 &&
       listing.started_unix_millis != upstream_->started_unix_millis) {
     // The upstream has restarted under the same id: the earlier runs are gone.
-    if (listing.started_unix_millis > upstream_->started_unix_millis) {
-      effects_.push_back(LogLine("upstream_reborn")
-                             .Add("upstream", upstream_->id)
-                             .Add("born", listing.started_unix_millis));
-      UpstreamAnnouncement restarted;
-      restarted.id = upstream_->id;
-      restarted.started_unix_millis = listing.started_unix_millis;
-      restarted.profile = upstream_->profile;
-      restarted.clock = clock;
-      BeginIncarnation(now, restarted);
+    if (IsRestoreUnproved()) {
+      DropRestoredUpstream("restarted");
+    } else if (listing.started_unix_millis > upstream_->started_unix_millis) {
+      BeginUnannouncedIncarnation(now, listing.started_unix_millis, clock);
     }
     return;
   }
+  if (IsRestoreUnproved()) {
+    if (listing.started_unix_millis == 0 || clock == 0) {
+      DropRestoredUpstream("listing_without_start_time");
+      return;
+    }
+    restore_deadline_ = Instant::max();
+  }
   RecordUpstreamClock(now, clock);
   for (const ListedEnd& end : listing.ended) {
     upstream_->last_listed_end =
@@ -440,12 +550,19 @@
     BeginSync(now);
     return;
   }
+  if (result == CommandResult::kOtherIncarnation && IsRestoreUnproved()) {
+    DropRestoredUpstream("replaced");
+    return;
+  }
   if (result == CommandResult::kOtherIncarnation) {
     DropAllRuns(now);
   }
   if (!listings_failing_since_) {
     listings_failing_since_ = requested_at;
   }
+  if (result == CommandResult::kUnknown) {
+    short_listings_until_ = now + kShortListingPeriod;
+  }
   next_listing_ = now + settings_.retry_delay;
 }
 
@@ -462,8 +579,7 @@
   for (const TaskRun& id : overdue) {
     ActiveRun& run = *run_table_.FindRun(id);
     if (run.phase == RunPhase::kStarting) {
-      effects_.push_back(LogLine("start_unanswered").Add("task", id.task));
-      BeginStop(now, run);
+      RetryStart(now, run);
     } else {
       run.is_confirmed = false;
       SendStopCommand(now, run);
@@ -480,6 +596,8 @@
   }
   for (const uint64_t number : overdue) {
     OnListingFailed(now, number, CommandResult::kUnknown);
+    // The timeout was pause enough.
+    next_listing_ = now;
   }
 }
 
--- a/filbertwick/core/policy/task_placement.h
+++ b/filbertwick/core/policy/task_placement.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <span>
 #include <string>
@@ -20,8 +21,8 @@
   /// Measured run time divided by the estimate; below 1 is faster than
   /// estimated.
   double run_time_ratio = 1;
-  /// The upstream failed recently. It is used only when no other candidate
-  /// fits.
+  /// The upstream failed recently. It gets no task, unless so many candidates
+  /// are suspect that the cause is probably not theirs.
   bool suspect = false;
   /// The upstream failed before. It gets one task, whose result shows whether
   /// it works again, and counts as suspect for further tasks. Without this
@@ -41,6 +42,12 @@
   std::string_view required_label;
   /// Label of the rack that holds the task's data; empty for no preference.
   std::string_view data_rack;
+  /// The job fails when this run of the task fails. It is not used to find out
+  /// whether an upstream on probation works again.
+  bool is_last_attempt = false;
+  /// Candidates with a higher run time ratio are not used, because the task
+  /// would end too late there.
+  double max_run_time_ratio = std::numeric_limits<double>::infinity();
   /// Maximum number of tasks of the step on one upstream; 0 is unlimited.
   size_t max_tasks_per_upstream = 0;
   /// Index of the candidate on which the task failed; it is used only when no
@@ -48,6 +55,10 @@
   std::optional<size_t> avoided_candidate;
 };
 
+/// Returns true when the candidate could run the task once it has enough free
+/// resources.
+bool CouldTake(const PlacementTask& task, const PlacementCandidate& candidate);
+
 /// Selects upstreams for tasks of one job. Each task goes to the candidate with
 /// the lowest score: the expected run time, increased with the load of the
 /// candidate, so that entries with the same view do not all select the fastest
--- a/filbertwick/platform/sidecar_node.cc
+++ b/filbertwick/platform/sidecar_node.cc
@@ -14,6 +14,7 @@
 #include "filbertwick/platform/peer_service.h"
 #include "filbertwick/platform/start_node.h"
 #include "filbertwick/platform/upstream_codec.h"
+#include "filbertwick/platform/upstream_record.h"
 
 namespace filbertwick::platform {
 namespace {
@@ -21,23 +22,25 @@
 using core::direct::CommandResult;
 using core::direct::DirectSidecar;
 using core::direct::ListCommand;
+using core::direct::RecordUpstreamEffect;
 using core::direct::SendToEntryEffect;
 using core::direct::SidecarEffect;
 using core::direct::SidecarEffects;
 using core::direct::StartCommand;
 using core::direct::StopCommand;
+using core::direct::UpstreamAnnouncement;
 
 /// Timeout of a start or stop, and time added to the wait of a list request.
 /// Longer than the core's own timeouts: the core gives up first, and a slow
 /// answer does not close the connection.
-constexpr Duration kCallTimeoutMargin = std::chrono::milliseconds(250);
+constexpr Duration kCallTimeoutMargin = std::chrono::milliseconds(100);
 /// Idle time after which a connection is not reused, because the upstream
 /// closes connections that idle for longer.
 constexpr Duration kIdleTimeout = std::chrono::milliseconds(1200);
 /// Limit of connections to the upstream. A call takes about a millisecond, so a
 /// dozen carry the starts of a job with many tasks at once. Opening each
 /// further one costs time.
-constexpr size_t kMaxConnections = 12;
+constexpr size_t kMaxConnections = 24;
 constexpr size_t kMaxAnnouncementBytes = 4 * 1024 * 1024;
 /// Path prefix of announcements; the id of the upstream follows.
 constexpr std::string_view kAnnouncementPath = "/api/instances/";
@@ -81,6 +84,11 @@
       return peer_service.status();
     }
     peer_service_ = *std::move(peer_service);
+    record_ = UpstreamRecord::Create(
+        context_.io, peer_service_->store(), settings_.store_partitions,
+        settings_.name,
+        {[this](const UpstreamAnnouncement& it) { OnUpstreamLoaded(it); },
+         context_.log});
     http::ServerSettings http;
     http.host = settings_.announcement_listener.host;
     http.port = settings_.announcement_listener.port;
@@ -145,6 +153,10 @@
                     });
   }
 
+  void Perform(const RecordUpstreamEffect& effect) {
+    record_->Save(effect.upstream);
+  }
+
   void CallUpstream(http::Request request, uint64_t number) {
     upstream_->Call(std::move(request), kCallTimeoutMargin,
                     [this, number](const http::CallResult& result) {
@@ -199,7 +211,17 @@
     return http::JsonResponse(200, "{}");
   }
 
-  void OnAnnouncement(const core::direct::UpstreamAnnouncement& announcement) {
+  void OnUpstreamLoaded(const UpstreamAnnouncement& recorded) {
+    if (upstream_service_.empty()) {
+      upstream_service_ = recorded.profile.service;
+    }
+    runner_.Run([&](Instant now, SidecarEffects& out) {
+      core().RestoreUpstream(now, recorded, out);
+      core().SetPlacementAllowed(now, IsPlacementAllowed(), out);
+    });
+  }
+
+  void OnAnnouncement(const UpstreamAnnouncement& announcement) {
     if (announcement.started_unix_millis >= upstream_started_unix_millis_) {
       upstream_started_unix_millis_ = announcement.started_unix_millis;
       upstream_service_ = announcement.profile.service;
@@ -232,9 +254,11 @@
   DrainMonitor drain_;
   /// Start time of the newest upstream process that was announced.
   int64_t upstream_started_unix_millis_ = 0;
-  /// Service of that upstream; empty before the first announcement.
+  /// Service of that upstream, or of the recorded one before the first
+  /// announcement; empty when none is known.
   std::string upstream_service_;
   std::unique_ptr<PeerService> peer_service_;
+  std::unique_ptr<UpstreamRecord> record_;
   std::unique_ptr<http::Client> upstream_;
   std::unique_ptr<http::Server> announcement_server_;
 };
--- a/unit_tests/direct_entry_test.cc
+++ b/unit_tests/direct_entry_test.cc
@@ -64,6 +64,14 @@
                        std::vector<OfferReply> replies,
                        std::vector<RunEnd> ends,
                        int64_t free_tasks = 2) {
+    SidecarMessage message = MessageFrom(n, free_tasks);
+    message.replies = std::move(replies);
+    message.ends = std::move(ends);
+    Deliver(message);
+  }
+
+  /// Returns a message of sidecar `n` with capacity for `free_tasks` tasks.
+  SidecarMessage MessageFrom(size_t n, int64_t free_tasks) const {
     SidecarMessage message;
     message.from = {InstanceName(n == 0 ? "s0" : "s1"), 3};
     message.to_incarnation = 7;
@@ -74,8 +82,10 @@
     message.upstream.zone = ZoneName(n == 0 ? "z0" : "z1");
     message.upstream.capacity = {2 * kTaskCpu, 100, 0};
     message.free = {free_tasks * kTaskCpu, 100, 0};
-    message.replies = std::move(replies);
-    message.ends = std::move(ends);
+    return message;
+  }
+
+  void Deliver(const SidecarMessage& message) {
     EntryEffects effects;
     entry->OnMessage(now, message, effects);
     Collect(effects);
@@ -98,6 +108,19 @@
     return job;
   }
 
+  /// Delivers a message of a new incarnation of sidecar `n` that has not found
+  /// its upstream yet.
+  void RestartWithoutUpstream(size_t n) {
+    SidecarMessage message;
+    message.from = {InstanceName(n == 0 ? "s0" : "s1"), 4};
+    message.to_incarnation = 7;
+    message.echoed_sent_at = ToMicros(now);
+    message.clock = ToMicros(now);
+    EntryEffects effects;
+    entry->OnMessage(now, message, effects);
+    Collect(effects);
+  }
+
   void Submit(JobRequest job) {
     EntryEffects effects;
     entry->OnJob(now, {1'800'000'000'000}, std::move(job), effects);
@@ -310,3 +333,181 @@
   it.EndRun(sidecar, run, EndKind::kDone);
   cr_assert_eq(it.answers.front().outcome, JobOutcome::kCompleted);
 }
+
+// A job of two tasks goes to one sidecar, which takes the first task only. The
+// end of that task arrives before the reply to the offer.
+Test(direct_entry, matches_a_reply_to_its_tasks_after_one_has_ended) {
+  Fixture it;
+  it.SendFromSidecar(0, {}, {}, 0);
+  it.Submit(it.Job("j", 2));
+  cr_assert_eq(it.offers.size(), 1);
+  const auto [n, offer] = it.offers.front();
+  cr_assert_eq(n, 1);
+  it.offers.clear();
+  it.EndRun(1, offer.tasks[0].run, EndKind::kDone);
+  it.offers.clear();
+  it.SendFromSidecar(1, {{offer.id, {Refusal::kNone, Refusal::kNoCapacity}}},
+                     {});
+  cr_assert_eq(it.offers.size(), 1);
+  cr_assert_eq(it.offers.front().second.tasks.front().run.task,
+               offer.tasks[1].run.task);
+}
+
+// The caller of a job disconnects and sends the job again at once. The reply to
+// the first offer arrives after the new one was accepted elsewhere.
+Test(direct_entry, ignores_late_replies_about_an_earlier_instance_of_a_job) {
+  Fixture it;
+  it.SendFromSidecar(1, {}, {}, 0);
+  it.Submit(it.Job("j", 1));
+  const auto [first, old_offer] = it.offers.front();
+  cr_assert_eq(first, 0);
+  EntryEffects effects;
+  it.entry->OnCallerGone(it.now, 1, effects);
+  it.Collect(effects);
+  // The stop has overtaken the offer.
+  it.offers.clear();
+  it.SendFromSidecar(
+      0, {},
+      {{++it.last_end[0], old_offer.tasks[0].run, EndKind::kNotStarted, 0}}, 0);
+  it.SendFromSidecar(1, {}, {});
+  it.Submit(it.Job("j", 1));
+  const auto runs = it.AcceptOffers();
+  cr_assert_eq(runs.size(), 1);
+  cr_assert_eq(runs.front().first, 1);
+  it.SendFromSidecar(0, {{old_offer.id, {Refusal::kStopped}}}, {});
+  cr_assert(it.offers.empty());
+}
+
+Test(direct_entry, numbers_the_runs_of_a_resent_job_after_the_earlier_ones) {
+  Fixture it;
+  it.Submit(it.Job("j", 1));
+  const auto [n, run] = it.AcceptOffers().front();
+  EntryEffects effects;
+  it.entry->OnCallerGone(it.now, 1, effects);
+  it.Collect(effects);
+  it.EndRun(n, run, EndKind::kStopped);
+  it.Submit(it.Job("j", 1));
+  const auto resent = it.AcceptOffers();
+  cr_assert_eq(resent.size(), 1);
+  cr_assert_eq(resent.front().second.task, run.task);
+  cr_assert_gt(resent.front().second.run, run.run);
+}
+
+// A job that waits for capacity must not use up run numbers: a resent job
+// starts from the wall clock and would get lower ones at another entry.
+Test(direct_entry, uses_no_run_numbers_while_nothing_is_placed) {
+  Fixture it;
+  it.Submit(it.Job("j", 5));
+  const auto runs = it.AcceptOffers(0);
+  cr_assert_eq(runs.size(), 4);
+  for (int n = 0; n < 50; ++n) {
+    it.SendFromSidecar(0, {}, {}, 0);
+  }
+  it.SendFromSidecar(0, {}, {}, 1);
+  const auto last = it.AcceptOffers();
+  cr_assert_eq(last.size(), 1);
+  cr_assert_eq(last.front().second.run, runs.front().second.run + 1);
+}
+
+// After a power loss the sidecars answer before they know their upstreams.
+Test(direct_entry, keeps_a_job_while_sidecars_look_for_their_upstreams) {
+  Fixture it;
+  it.AdvanceTime(10 * kMilli);
+  it.RestartWithoutUpstream(0);
+  it.RestartWithoutUpstream(1);
+  it.Submit(it.Job("j", 1));
+  cr_assert(it.answers.empty());
+  // Known hopeless once they had the time to find one.
+  it.AdvanceTime(std::chrono::seconds(2));
+  it.answers.clear();
+  it.Submit(it.Job("k", 1));
+  cr_assert_eq(it.answers.size(), 1);
+  cr_assert_eq(it.answers.front().outcome, JobOutcome::kRefused);
+  cr_assert_eq(it.answers.front().cause, "no_upstream_fits");
+}
+
+Test(direct_entry, refuses_at_once_jobs_with_a_label_that_no_upstream_has) {
+  Fixture it;
+  it.AdvanceTime(std::chrono::seconds(3));
+  it.SendFromSidecar(0, {}, {});
+  it.SendFromSidecar(1, {}, {});
+  JobRequest job = it.Job("j", 1);
+  job.steps.front().required_label = "gpu";
+  it.Submit(job);
+  cr_assert_eq(it.answers.size(), 1);
+  cr_assert_eq(it.answers.front().cause, "no_upstream_fits");
+}
+
+Test(direct_entry, keeps_a_job_that_arrives_before_any_sidecar_is_known) {
+  Fixture it;
+  it.entry = DirectEntry::Create(
+      {InstanceName("entry"), 8}, {},
+      [](std::string_view job, size_t, size_t) { return std::string(job); });
+  it.Submit(it.Job("j", 1));
+  cr_assert(it.answers.empty());
+}
+
+// A deployment with two services: a burst at one must not hold up the other.
+Test(direct_entry, jobs_of_another_service_pass_a_job_that_waits) {
+  Fixture it;
+  it.SendFromSidecar(0, {}, {}, 0);
+  SidecarMessage other = it.MessageFrom(1, 2);
+  other.upstream.service = "other";
+  it.Deliver(other);
+  it.Submit(it.Job("waits", 1));
+  cr_assert(it.offers.empty());
+  JobRequest job = it.Job("passes", 1);
+  job.service = "other";
+  it.Submit(job);
+  cr_assert_eq(it.offers.size(), 1);
+  cr_assert_eq(it.offers.front().first, 1);
+}
+
+Test(direct_entry, jobs_pass_one_that_waits_for_a_label) {
+  Fixture it;
+  SidecarMessage labelled = it.MessageFrom(0, 0);
+  labelled.upstream.labels = {"gpu"};
+  it.Deliver(labelled);
+  JobRequest waits = it.Job("waits", 1);
+  waits.steps.front().required_label = "gpu";
+  it.Submit(waits);
+  it.Submit(it.Job("passes", 1));
+  cr_assert_eq(it.offers.size(), 1);
+  cr_assert_eq(it.offers.front().first, 1);
+  // The labelled upstream is left to the job that can run nowhere else.
+  it.offers.clear();
+  it.SendFromSidecar(1, {}, {}, 0);
+  it.Submit(it.Job("behind", 1));
+  labelled.clock += 1;
+  labelled.free = {kTaskCpu, 100, 0};
+  it.Deliver(labelled);
+  cr_assert_eq(it.offers.size(), 1);
+  cr_assert_eq(it.offers.front().second.tasks.front().run.task, "waits.0.0");
+}
+
+// A resent job whose first runs are still being stopped.
+Test(direct_entry, jobs_pass_one_that_waits_for_a_stop) {
+  Fixture it;
+  it.Submit(it.Job("j", 1));
+  it.AcceptOffers();
+  EntryEffects effects;
+  it.entry->OnCallerGone(it.now, 1, effects);
+  it.Collect(effects);
+  it.Submit(it.Job("j", 1));
+  it.Submit(it.Job("k", 1));
+  cr_assert_eq(it.offers.size(), 1);
+  cr_assert_eq(it.offers.front().second.tasks.front().run.task, "k.0.0");
+}
+
+// Narrow jobs behind a wide one must not take the capacity that it waits for.
+Test(direct_entry, a_wide_job_is_not_starved_by_narrow_ones) {
+  Fixture it;
+  it.Submit(it.Job("wide", 5));
+  it.AcceptOffers(0);
+  it.Submit(it.Job("narrow", 1));
+  cr_assert(it.offers.empty());
+  it.SendFromSidecar(1, {}, {}, 1);
+  cr_assert_eq(it.offers.size(), 1);
+  cr_assert_eq(it.offers.front().second.tasks.front().run.task.substr(0, 4),
+               "wide");
+}
