Log all decisions on a job that ends badly in one line

Change: JobHistory keeps the newest 32 decisions on a job in memory; a job that is refused, fails, is late, times out or loses its caller has them logged as one job_history line. The lines of single decisions stay, so that a job whose entry died can still be traced. Refusals by sidecars are in the history only.

Tests: logs_the_history_of_a_job_that_ends_badly_in_one_line, job_history.

--- a/filbertwick/core/direct/direct_entry.cc
+++ b/filbertwick/core/direct/direct_entry.cc
@@ -126,6 +126,7 @@
     // without effect.
     return;
   }
+  LogHistory(*job);
   effects_.push_back(LogLine("caller_gone")
                          .Add("job", job->spec.id)
                          .Add("age_us", (now - job->arrived).count())
--- a/filbertwick/core/direct/direct_entry_impl.h
+++ b/filbertwick/core/direct/direct_entry_impl.h
@@ -58,8 +58,10 @@
   LogLine AddDecisionContext(Instant now,
                              const DirectJob& job,
                              LogLine line) const;
+  /// Logs all decisions on a job that ends otherwise than in time.
+  void LogHistory(const DirectJob& job);
   void LogPlacement(Instant now,
-                    const DirectJob& job,
+                    DirectJob& job,
                     size_t tasks,
                     const std::map<InstanceName, Offer>& offers);
   /// Formats the number of placed tasks per sidecar as `sidecar:tasks`,
@@ -107,7 +109,10 @@
   // Sidecars.
   void BeginIncarnation(Instant now, SidecarView& view, uint64_t incarnation);
   void HandleReply(Instant now, SidecarView& view, const OfferReply& reply);
-  void HandleRefusal(const TaskRun& run, Refusal refusal);
+  void HandleRefusal(Instant now,
+                     const SidecarView& view,
+                     const TaskRun& run,
+                     Refusal refusal);
   void HandleEnd(Instant now, SidecarView& view, const RunEnd& end);
   void HandleTaskEnd(Instant now,
                      SidecarView& view,
--- a/filbertwick/core/direct/direct_entry_log.cc
+++ b/filbertwick/core/direct/direct_entry_log.cc
@@ -8,6 +8,10 @@
 void DirectEntry::Impl::LogAnswer(Instant now,
                                   const DirectJob& job,
                                   const AnswerJobEffect& answer) {
+  if (answer.outcome != JobOutcome::kCompleted ||
+      answer.age > job.spec.target) {
+    LogHistory(job);
+  }
   // Each event has its own log budget. One event per outcome ensures that lines
   // of completed jobs never displace the line of a failed one.
   LogLine line = LogLine(fmt::format("job_{}", ToString(answer.outcome)))
@@ -22,6 +26,14 @@
                          : AddDecisionContext(now, job, std::move(line)));
 }
 
+void DirectEntry::Impl::LogHistory(const DirectJob& job) {
+  if (!job.history.empty()) {
+    effects_.push_back(LogLine("job_history")
+                           .Add("job", job.spec.id)
+                           .Add("decisions", job.history.Format()));
+  }
+}
+
 LogLine DirectEntry::Impl::AddDecisionContext(Instant now,
                                               const DirectJob& job,
                                               LogLine line) const {
@@ -67,18 +79,21 @@
 
 void DirectEntry::Impl::LogPlacement(
     Instant now,
-    const DirectJob& job,
+    DirectJob& job,
     size_t tasks,
     const std::map<InstanceName, Offer>& offers) {
   Duration oldest{0};
   for (const InstanceName& name : offers | std::views::keys) {
     oldest = std::max(oldest, now - sidecars_.at(name).last_heard);
   }
+  const std::string places = FormatPlacedTasks(job);
+  job.history.Add(now - job.arrived,
+                  fmt::format("placed {} tasks, now {}", tasks, places));
   effects_.push_back(
       LogLine("job_placed")
           .Add("job", job.spec.id)
           .Add("tasks", static_cast<int64_t>(tasks))
-          .Add("places", FormatPlacedTasks(job))
+          .Add("places", places)
           .Add("waited_us", (now - job.arrived).count())
           .Add("oldest_view_us", oldest.count())
           .Add("configuration", static_cast<int64_t>(control_.version)));
--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include "filbertwick/core/direct/direct_entry_impl.h"
 #include "filbertwick/core/direct/names.h"
 
@@ -274,7 +276,7 @@
         n < reply.refusals.size() ? reply.refusals[n] : Refusal::kNotAccepting;
     if (refusal != Refusal::kNone) {
       RemoveStop(view, run);
-      HandleRefusal(run, refusal);
+      HandleRefusal(now, view, run, refusal);
       continue;
     }
     view.runs.insert(run);
@@ -296,7 +298,10 @@
   return true;
 }
 
-void DirectEntry::Impl::HandleRefusal(const TaskRun& run, Refusal refusal) {
+void DirectEntry::Impl::HandleRefusal(Instant now,
+                                      const SidecarView& view,
+                                      const TaskRun& run,
+                                      Refusal refusal) {
   const auto ref = jobs_.FindRun(run);
   if (!ref) {
     return;
@@ -308,6 +313,9 @@
     // message with the reply has also brought its present capacity and clock.
     task.sidecar = InstanceName();
   }
+  job.history.Add(now - job.arrived,
+                  fmt::format("{} refused by {}: {}", run.task,
+                              view.name.value(), ToString(refusal)));
   MakeReady(job, task);
 }
 
@@ -360,6 +368,10 @@
     }
     return;
   }
+  job.history.Add(
+      now - job.arrived,
+      fmt::format("{} {} at {} after {} us", end.run.task, ToString(end.kind),
+                  view.name.value(), end.duration_micros));
   effects_.push_back(LogLine("run_ended_badly")
                          .Add("job", job.spec.id)
                          .Add("task", end.run.task)
--- a/filbertwick/core/direct/direct_job_table.h
+++ b/filbertwick/core/direct/direct_job_table.h
@@ -10,6 +10,7 @@
 
 #include "filbertwick/base/time.h"
 #include "filbertwick/core/direct/entry_effect.h"
+#include "filbertwick/core/direct/job_history.h"
 
 namespace filbertwick::core::direct {
 
@@ -55,6 +56,8 @@
   /// A sidecar has accepted a task, or a run has ended in a way that does not
   /// prove that it never started (any but EndKind::kNotStarted).
   bool started = false;
+  /// Logged when the job ends otherwise than in time.
+  JobHistory history;
   /// Run number of the tasks that are placed next.
   uint64_t next_run_number = 1;
 };
--- a/filbertwick/core/direct/names.cc
+++ b/filbertwick/core/direct/names.cc
@@ -32,6 +32,24 @@
   return "lost";
 }
 
+std::string_view ToString(Refusal refusal) {
+  switch (refusal) {
+    case Refusal::kNone:
+      return "none";
+    case Refusal::kNoCapacity:
+      return "no_capacity";
+    case Refusal::kStale:
+      return "stale";
+    case Refusal::kNotAccepting:
+      return "not_accepting";
+    case Refusal::kOtherRun:
+      return "other_run";
+    case Refusal::kStopped:
+      return "stopped";
+  }
+  return "";
+}
+
 std::string_view ToString(CommandResult result) {
   switch (result) {
     case CommandResult::kAccepted:
--- a/filbertwick/core/direct/names.h
+++ b/filbertwick/core/direct/names.h
@@ -13,6 +13,7 @@
 
 std::string_view ToString(JobOutcome outcome);
 std::string_view ToString(EndKind kind);
+std::string_view ToString(Refusal refusal);
 std::string_view ToString(CommandResult result);
 
 }  // namespace filbertwick::core::direct
--- a/unit_tests/direct_entry_test.cc
+++ b/unit_tests/direct_entry_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "filbertwick/core/direct/direct_entry.h"
+#include "filbertwick/core/direct/job_history.h"
 
 namespace {
 
@@ -511,3 +512,37 @@
   cr_assert_eq(it.offers.front().second.tasks.front().run.task.substr(0, 4),
                "wide");
 }
+
+// The lines of single decisions share a limited volume with all other jobs.
+Test(direct_entry, logs_the_history_of_a_job_that_ends_badly_in_one_line) {
+  Fixture it;
+  const auto histories = [&](std::string_view text) {
+    return std::ranges::count_if(it.lines, [&](const std::string& line) {
+      return line.find(R"("event":"job_history")") != line.npos &&
+             line.find(text) != line.npos;
+    });
+  };
+  it.Submit(it.Job("good", 1));
+  const auto [first, good] = it.AcceptOffers().front();
+  it.EndRun(first, good, EndKind::kDone);
+  cr_assert_eq(histories(""), 0);
+  it.Submit(it.Job("bad", 1));
+  for (int n = 0; n < 2; ++n) {
+    const auto [sidecar, run] = it.AcceptOffers().front();
+    it.AdvanceTime(5 * kMilli);
+    it.EndRun(sidecar, run, EndKind::kFailed);
+  }
+  cr_assert_eq(histories(R"("job":"bad")"), 1);
+  cr_assert_eq(histories("+0 ms placed 1 tasks, now s"), 1);
+  cr_assert_eq(histories("; +5 ms bad.0.0 failed at s"), 1);
+  cr_assert_eq(histories("; +10 ms bad.0.0 failed at s"), 1);
+}
+
+Test(job_history, keeps_the_newest_decisions) {
+  JobHistory history;
+  for (size_t n = 0; n < JobHistory::kMaxDecisions + 2; ++n) {
+    history.Add(std::chrono::milliseconds(n), "decision " + std::to_string(n));
+  }
+  cr_assert(history.Format().starts_with("2 earlier; +2 ms decision 2; "), "%s",
+            history.Format().c_str());
+}
