--- a/filbertwick/json/document_state.cc
+++ b/filbertwick/json/document_state.cc
@@ -42,8 +42,9 @@
   Findings sorted = findings_;
   std::ranges::stable_sort(sorted, {}, &Finding::line);
   if (num_dropped_findings_ > 0) {
+    // As severe as what is left out may be.
     sorted.push_back(
-        {Severity::kError, file_, 0, "/",
+        {has_errors ? Severity::kError : Severity::kWarning, file_, 0, "/",
          fmt::format("{} more findings are left out", num_dropped_findings_)});
   }
   return sorted;
