--- a/unit_tests/load_replay_test.cc
+++ b/unit_tests/load_replay_test.cc
@@ -112,7 +112,8 @@
   constexpr Duration kLossAt = 4 * kSecond;
   constexpr Duration kDowntime = std::chrono::milliseconds(500);
   constexpr Duration kReturn = std::chrono::milliseconds(150);
-  LoadPattern pattern = TicketSalesLoad(1.4);
+  // Enough to fill all upstreams within kReturn.
+  LoadPattern pattern = TicketSalesLoad(3);
   pattern.events = {{Type::kPowerLoss, kLossAt, kDowntime, 0}};
   const LoadResult result = ReplayLoad(pattern);
   cr_assert_eq(result.violations, 0);
