Refuse at once a job that can't end in its caller's time

Change: a job is refused as soon as its caller's time is below half of its expected run time, at its arrival (time_limit_too_short) or while it waits.

Test: refuses_at_once_jobs_that_can_not_end_in_the_callers_time.

--- a/filbertwick/core/direct/direct_entry.cc
+++ b/filbertwick/core/direct/direct_entry.cc
@@ -22,6 +22,11 @@
   return static_cast<uint64_t>(std::max<int64_t>(units, 1));
 }
 
+Duration Scale(Duration duration, double factor) {
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
 /// Returns true when the upstream has the label, or when it is empty.
 bool HasLabel(const UpstreamProfile& upstream, std::string_view label) {
   return label.empty() ||
@@ -60,6 +65,10 @@
     Refuse(now, added, "no_upstream_fits");
     return;
   }
+  if (added.place_by <= now) {
+    Refuse(now, added, "time_limit_too_short");
+    return;
+  }
   if (wait_queue_.size() >= settings_.max_waiting_jobs) {
     const auto last = wait_queue_.EvictForNewcomer(QueueEntryFor(added));
     Refuse(now, last ? *jobs_.Find(*last) : added, "line_full");
@@ -74,9 +83,10 @@
 Duration DirectEntry::Impl::MaxWait(const JobRequest& spec) const {
   // A job that waits for more than target - expected can't meet its target
   // latency any more; the capacity serves other jobs better.
-  const Duration min_wait(static_cast<int64_t>(
-      static_cast<double>(spec.target.count()) * settings_.min_wait_fraction));
-  return std::min(spec.time_limit,
+  const Duration min_wait = Scale(spec.target, settings_.min_wait_fraction);
+  const Duration min_run_time =
+      Scale(spec.expected, settings_.min_run_time_fraction);
+  return std::min(spec.time_limit - min_run_time,
                   std::max(spec.target - spec.expected, min_wait));
 }
 
--- a/unit_tests/direct_entry_test.cc
+++ b/unit_tests/direct_entry_test.cc
@@ -513,6 +513,30 @@
                "wide");
 }
 
+// After an outage, callers who had to wait for a connection have little of
+// their time left.
+Test(direct_entry, refuses_at_once_jobs_that_can_not_end_in_the_callers_time) {
+  Fixture it;
+  JobRequest job = it.Job("short", 1);
+  job.time_limit = 40 * kMilli;
+  it.Submit(job);
+  cr_assert(it.offers.empty());
+  cr_assert_eq(it.answers.size(), 1);
+  cr_assert_eq(it.answers.front().outcome, JobOutcome::kRefused);
+  cr_assert_eq(it.answers.front().cause, "time_limit_too_short");
+  // One that may end in time waits only as long as that is so.
+  it.SendFromSidecar(0, {}, {}, 0);
+  it.SendFromSidecar(1, {}, {}, 0);
+  job = it.Job("tight", 1);
+  job.time_limit = 70 * kMilli;
+  it.Submit(job);
+  it.AdvanceTime(19 * kMilli);
+  cr_assert_eq(it.answers.size(), 1);
+  it.AdvanceTime(kMilli);
+  cr_assert_eq(it.answers.size(), 2);
+  cr_assert_eq(it.answers.back().outcome, JobOutcome::kRefused);
+}
+
 // The lines of single decisions share a limited volume with all other jobs.
 Test(direct_entry, logs_the_history_of_a_job_that_ends_badly_in_one_line) {
   Fixture it;
