--- a/filbertwick/harness/load_replay.cc
+++ b/filbertwick/harness/load_replay.cc
@@ -401,4 +401,32 @@
   return pattern;
 }
 
+std::vector<NamedLoad> NamedLoads() {
+  using Type = LoadEvent::Type;
+  constexpr Duration kAt = 2000 * kMilli;
+  constexpr Duration kLength = 6000 * kMilli;
+  std::vector<NamedLoad> loads;
+  const auto add = [&](std::string name, double scale,
+                       std::vector<LoadEvent> events) {
+    LoadPattern pattern = TicketSalesLoad(scale);
+    pattern.events = std::move(events);
+    loads.push_back({std::move(name), std::move(pattern)});
+  };
+  add("calm", 1, {});
+  add("near-capacity", 1.18, {});
+  add("overload", 1.4, {});
+  add("burst", 1, {{Type::kBurst, kAt, kLength / 2, 1.4}});
+  add("slow", 1.05, {{Type::kSlow, kAt, kLength, 5.4, 2}});
+  add("failing", 1, {{Type::kFailing, kAt, kLength, 1, 2}});
+  add("hanging", 1, {{Type::kHanging, kAt, kLength, 1, 2}});
+  add("lost", 1, {{Type::kLost, kAt, kLength, 1, 2}});
+  add("late-commands", 1, {{Type::kLateCommands, kAt, kLength, 0.1}});
+  add("late-and-hanging", 1,
+      {{Type::kLateCommands, kAt, kLength, 0.05},
+       {Type::kHanging, kAt, kLength, 1, 2}});
+  add("leaving-callers", 1.1, {{Type::kLeavingCallers, kAt, kLength, 0.4}});
+  add("power-loss", 1, {{Type::kPowerLoss, 2 * kAt, 500 * kMilli, 0}});
+  return loads;
+}
+
 }  // namespace filbertwick::harness
--- a/filbertwick/harness/load_replay.h
+++ b/filbertwick/harness/load_replay.h
@@ -117,6 +117,16 @@
 /// of about four fifths of the capacity.
 LoadPattern TicketSalesLoad(double scale);
 
+/// A load with a name, for tools.
+struct NamedLoad {
+  std::string name;
+  LoadPattern pattern;
+};
+
+/// TicketSalesLoad() calm, beyond the capacity, and with each type of event, at
+/// loads where the event matters.
+std::vector<NamedLoad> NamedLoads();
+
 }  // namespace filbertwick::harness
 
 #endif  // FILBERTWICK_HARNESS_LOAD_REPLAY_H_
--- a/filbertwick/tool/command_table.cc
+++ b/filbertwick/tool/command_table.cc
@@ -7,7 +7,7 @@
       &CreateCheckCommand,    &CreateDiffCommand,   &CreatePublishCommand,
       &CreateZoneCommand,     &CreateStatusCommand, &CreateAuditCommand,
       &CreateExplainCommand,  &CreateSubmitCommand, &CreateDemoCommand,
-      &CreateScenarioCommand,
+      &CreateScenarioCommand, &CreateReplayCommand,
   };
   return kTable;
 }
--- a/filbertwick/tool/command_table.h
+++ b/filbertwick/tool/command_table.h
@@ -19,6 +19,7 @@
 std::unique_ptr<Command> CreateSubmitCommand();
 std::unique_ptr<Command> CreateDemoCommand();
 std::unique_ptr<Command> CreateScenarioCommand();
+std::unique_ptr<Command> CreateReplayCommand();
 
 /// Creates a subcommand.
 using CommandFactory = std::unique_ptr<Command> (*)();
--- a/unit_tests/tool_test.cc
+++ b/unit_tests/tool_test.cc
@@ -336,6 +336,16 @@
   }
 }
 
+Test(tool, replay_prints_the_figures_of_a_load) {
+  ToolFixture tool([](uint16_t, const Request&) { return Response(); });
+  cr_expect(tool.Run({"replay", "calm", "--by-kind"}) == ExitCode::kOk);
+  cr_expect(tool.out.find("\ncalm ") != std::string::npos, "%s",
+            tool.out.c_str());
+  cr_expect(tool.out.find("\n  checkout ") != std::string::npos);
+  cr_expect(tool.out.find("overload") == std::string::npos);
+  cr_expect(tool.Run({"replay", "unknown"}) == ExitCode::kUsage);
+}
+
 }  // namespace
 
 namespace {
