Never leave upstreams on probation or slow ones unused for good

Cause: found by reading the final code. (1) With one attempt for each task every attempt counts as the last, so that no upstream on probation got a task: after a lost run an upstream was out of use for good. (2) An upstream was slow by its own estimates alone: where all estimates are too low, all jobs would have waited out their slack before they were placed. (3) Where estimates are more than twice too high, jobs could have been refused as hopeless without ever being measured.

Change: (1) only a retry can be a last attempt, and the rule does not hold when most upstreams are on probation; (2) an upstream is slow compared with the median of its service; (3) a job is hopeless below a quarter of its expected run time, not below half.

Tests: uses_upstreams_on_probation_for_jobs_with_one_attempt, places_jobs_at_once_where_all_estimates_are_too_low and the longer does_not_risk_the_last_attempt_on_probation failed before.

--- a/filbertwick/core/direct/direct_entry_impl.h
+++ b/filbertwick/core/direct/direct_entry_impl.h
@@ -93,10 +93,17 @@
   /// Returns true when a job behind those that wait for `reserved` may find
   /// free capacity.
   bool HasRoomOutside(Instant now, const ReservedSidecars& reserved) const;
+  /// Returns the run time ratio above which an upstream of the service is slow;
+  /// see kSlowRunTimeFactor.
+  double SlowRunTimeRatio(Instant now, std::string_view service) const;
   /// Returns the highest run time ratio of an upstream on which a task of the
   /// step ends soon enough: in time for the target, or, once the job can no
-  /// longer meet it, for an answer that is still of use.
-  double MaxRunTimeRatio(Instant now, const DirectJob& job, size_t step) const;
+  /// longer meet it, for an answer that is still of use. Not below
+  /// `slow_ratio`.
+  double MaxRunTimeRatio(Instant now,
+                         const DirectJob& job,
+                         size_t step,
+                         double slow_ratio) const;
   bool IsUsable(Instant now, const SidecarView& view) const;
   bool IsUnresponsive(Instant now, const SidecarView& view) const {
     return view.unanswered_since < now - settings_.reply_timeout;
--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -64,9 +64,27 @@
          !zones_out_.contains(view.upstream.zone);
 }
 
+double DirectEntry::Impl::SlowRunTimeRatio(Instant now,
+                                           std::string_view service) const {
+  std::vector<double> ratios;
+  for (const SidecarView& view : sidecars_ | std::views::values) {
+    if (IsUsable(now, view) && view.upstream.service == service) {
+      ratios.push_back(view.run_time_ratio);
+    }
+  }
+  if (ratios.empty()) {
+    return kSlowRunTimeFactor;
+  }
+  const auto median =
+      ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2);
+  std::ranges::nth_element(ratios, median);
+  return kSlowRunTimeFactor * std::max(1.0, *median);
+}
+
 double DirectEntry::Impl::MaxRunTimeRatio(Instant now,
                                           const DirectJob& job,
-                                          size_t step) const {
+                                          size_t step,
+                                          double slow_ratio) const {
   const Duration path = LongestPathFrom(job.spec, step);
   if (path <= Duration(0)) {
     return std::numeric_limits<double>::infinity();
@@ -75,8 +93,7 @@
   const auto useful_time =
       static_cast<double>(job.spec.target.count()) * lateness -
       static_cast<double>((now - job.arrived).count());
-  return std::max(kNormalRunTimeRatio,
-                  useful_time / static_cast<double>(path.count()));
+  return std::max(slow_ratio, useful_time / static_cast<double>(path.count()));
 }
 
 bool DirectEntry::Impl::PlaceReadyTasks(Instant now,
@@ -86,21 +103,23 @@
   std::vector<policy::PlacementTask> tasks;
   std::vector<SidecarView*> views;
   std::vector<policy::PlacementCandidate> candidates;
+  const double slow_ratio = SlowRunTimeRatio(now, job.spec.service);
   for (SidecarView& view : sidecars_ | std::views::values) {
     if (!IsUsable(now, view) || view.upstream.service != job.spec.service) {
       continue;
     }
     views.push_back(&view);
     const bool is_reserved = reserved.contains(view.name);
-    candidates.push_back({is_reserved ? Resources() : view.free,
-                          view.upstream.capacity,
-                          view.ExpectedRunTimeRatio(now), view.ShouldAvoid(now),
-                          view.IsOnProbation(now), view.upstream.labels,
-                          static_cast<size_t>(std::ranges::count_if(
-                              job.tasks, [&](const JobTask& task) {
-                                return task.phase == TaskPhase::kPlaced &&
-                                       task.sidecar == view.name;
-                              }))});
+    candidates.push_back(
+        {is_reserved ? Resources() : view.free, view.upstream.capacity,
+         view.ExpectedRunTimeRatio(now, slow_ratio),
+         view.ShouldAvoid(now, slow_ratio), view.IsOnProbation(now, slow_ratio),
+         view.upstream.labels,
+         static_cast<size_t>(
+             std::ranges::count_if(job.tasks, [&](const JobTask& task) {
+               return task.phase == TaskPhase::kPlaced &&
+                      task.sidecar == view.name;
+             }))});
   }
   for (size_t n = 0; n < job.tasks.size(); ++n) {
     const JobTask& task = job.tasks[n];
@@ -112,13 +131,14 @@
       return false;
     }
     const JobStep& step = job.spec.steps[task.step];
-    policy::PlacementTask item = {step.needs,
-                                  step.required_label,
-                                  step.data_rack,
-                                  task.failures + 1 >= job.spec.max_attempts,
-                                  MaxRunTimeRatio(now, job, task.step),
-                                  step.max_tasks_per_upstream,
-                                  std::nullopt};
+    policy::PlacementTask item = {
+        step.needs,
+        step.required_label,
+        step.data_rack,
+        task.failures > 0 && task.failures + 1 >= job.spec.max_attempts,
+        MaxRunTimeRatio(now, job, task.step, slow_ratio),
+        step.max_tasks_per_upstream,
+        std::nullopt};
     const auto last = std::ranges::find_if(views, [&](const SidecarView* view) {
       return view->name == task.sidecar;
     });
--- a/filbertwick/core/direct/direct_settings.h
+++ b/filbertwick/core/direct/direct_settings.h
@@ -93,9 +93,8 @@
   /// the caller.
   double max_lateness = 3;
   /// A job is not placed when its caller waits for less than this fraction of
-  /// its expected run time: estimates are rough, and some upstreams are faster,
-  /// but not by so much.
-  double min_run_time_fraction = 0.5;
+  /// its expected run time; estimates may be up to four times too high.
+  double min_run_time_fraction = 0.25;
   /// Most waiting jobs. When the queue is full, either the last job in it or
   /// the new one is refused. Bounds memory and the time of one placement pass.
   size_t max_waiting_jobs = 512;
--- a/filbertwick/core/direct/sidecar_view.cc
+++ b/filbertwick/core/direct/sidecar_view.cc
@@ -42,8 +42,8 @@
   return all;
 }
 
-bool SidecarView::IsSpeedUnknown(Instant now) const {
-  return run_time_ratio > kNormalRunTimeRatio &&
+bool SidecarView::IsSpeedUnknown(Instant now, double slow_ratio) const {
+  return run_time_ratio > slow_ratio &&
          now - run_time_measured_at > kSlowMemory;
 }
 
@@ -58,7 +58,7 @@
       const double ratio = std::clamp(static_cast<double>(end.duration_micros) /
                                           static_cast<double>(estimate.count()),
                                       kMinRunTimeRatio, kMaxRunTimeRatio);
-      const double weight = view.run_time_ratio > kNormalRunTimeRatio
+      const double weight = view.run_time_ratio > kSlowRunTimeFactor
                                 ? kNewestSlowRunWeight
                                 : kNewestRunWeight;
       view.run_time_ratio += weight * (ratio - view.run_time_ratio);
--- a/filbertwick/core/direct/sidecar_view.h
+++ b/filbertwick/core/direct/sidecar_view.h
@@ -21,10 +21,10 @@
   Instant resend_due;
 };
 
-/// Upstreams whose run times are up to this multiple of the estimates are used
-/// for all jobs; slower ones only for jobs that end soon enough there.
-/// Estimates are off by as much.
-inline constexpr double kNormalRunTimeRatio = 1.5;
+/// An upstream is slow when its run time ratio exceeds this multiple of the
+/// median of its service, or of 1 if that is higher. Where all estimates are
+/// too low, no upstream is slow.
+inline constexpr double kSlowRunTimeFactor = 1.5;
 
 /// Time within which a started sidecar finds its upstream, if that lives:
 /// longer than the interval of announcements.
@@ -83,22 +83,23 @@
   bool MayFindUpstream(Instant now) const {
     return upstream.service.empty() && now - found_at < kUpstreamDiscoveryTime;
   }
-  /// Returns true when the sidecar should get no task.
-  bool ShouldAvoid(Instant now) const {
-    return now < avoid_until || (IsOnProbation(now) && IsBusy());
+  /// Returns true when the sidecar should get no task. Here and below,
+  /// `slow_ratio` is the run time ratio above which an upstream is slow.
+  bool ShouldAvoid(Instant now, double slow_ratio) const {
+    return now < avoid_until || (IsOnProbation(now, slow_ratio) && IsBusy());
   }
   /// Returns true when the sidecar failed repeatedly and has completed no run
   /// since, or when it was slow and was not used for a while. While on
   /// probation it is given one task at a time.
-  bool IsOnProbation(Instant now) const {
-    return avoid_until != Instant() || IsSpeedUnknown(now);
+  bool IsOnProbation(Instant now, double slow_ratio) const {
+    return avoid_until != Instant() || IsSpeedUnknown(now, slow_ratio);
   }
   /// Returns true when the sidecar was so slow that it is hardly used, and its
   /// speed may have changed since.
-  bool IsSpeedUnknown(Instant now) const;
+  bool IsSpeedUnknown(Instant now, double slow_ratio) const;
   /// The run time ratio to assume for a new task.
-  double ExpectedRunTimeRatio(Instant now) const {
-    return IsSpeedUnknown(now) ? 1 : run_time_ratio;
+  double ExpectedRunTimeRatio(Instant now, double slow_ratio) const {
+    return IsSpeedUnknown(now, slow_ratio) ? 1 : run_time_ratio;
   }
 
   /// Returns every run that is offered, accepted, unconfirmed or to be stopped,
--- a/filbertwick/core/policy/task_placement.cc
+++ b/filbertwick/core/policy/task_placement.cc
@@ -45,20 +45,28 @@
        part(candidate.free.gpus, candidate.capacity.gpus)});
 }
 
-/// Returns true when at most half of the candidates are suspect. When more are,
-/// the tasks may be what fails, and an upstream that is known to be better does
-/// not exist.
-bool AvoidsSuspects(std::span<const PlacementCandidate> candidates) {
-  const auto suspects =
-      std::ranges::count_if(candidates, &PlacementCandidate::suspect);
-  return static_cast<size_t>(suspects) * 2 <= candidates.size();
-}
+/// Which candidates get no task although they have room. When more than half
+/// are suspect, or on probation, the tasks may be what fails, and the others
+/// can hardly carry the load.
+struct Avoidance {
+  bool of_suspects = false;
+  bool of_probation = false;
 
-bool IsAcceptable(const PlacementTask& task,
-                  const PlacementCandidate& candidate) {
-  return !candidate.suspect &&
-         !(task.is_last_attempt && candidate.on_probation);
-}
+  static Avoidance For(std::span<const PlacementCandidate> candidates) {
+    const auto is_minority = [&](auto property) {
+      const auto n = std::ranges::count_if(candidates, property);
+      return static_cast<size_t>(n) * 2 <= candidates.size();
+    };
+    return {is_minority(&PlacementCandidate::suspect),
+            is_minority(&PlacementCandidate::on_probation)};
+  }
+
+  bool Allows(const PlacementTask& task,
+              const PlacementCandidate& candidate) const {
+    return !(of_suspects && candidate.suspect) &&
+           !(of_probation && task.is_last_attempt && candidate.on_probation);
+  }
+};
 
 bool Fits(const PlacementTask& task, const PlacementCandidate& candidate) {
   return candidate.free.Covers(task.needs) &&
@@ -88,7 +96,8 @@
 bool CouldTake(const PlacementTask& task, const PlacementCandidate& candidate) {
   PlacementCandidate idle = candidate;
   idle.free = candidate.capacity;
-  return Fits(task, idle) && IsAcceptable(task, idle);
+  return Fits(task, idle) && !candidate.suspect &&
+         !(task.is_last_attempt && candidate.on_probation);
 }
 
 std::vector<std::optional<size_t>> PlaceTasks(
@@ -97,15 +106,14 @@
     uint64_t salt) {
   std::vector<PlacementCandidate> remaining(candidates.begin(),
                                             candidates.end());
-  const bool avoids_suspects = AvoidsSuspects(candidates);
+  const Avoidance avoidance = Avoidance::For(candidates);
   std::vector<std::optional<size_t>> places;
   places.reserve(tasks.size());
   for (const PlacementTask& task : tasks) {
     size_t best = remaining.size();
     double best_score = std::numeric_limits<double>::infinity();
     for (size_t n = 0; n < remaining.size(); ++n) {
-      if (!Fits(task, remaining[n]) ||
-          (avoids_suspects && !IsAcceptable(task, remaining[n]))) {
+      if (!Fits(task, remaining[n]) || !avoidance.Allows(task, remaining[n])) {
         continue;
       }
       const double score = Score(task, remaining[n],
--- a/filbertwick/core/policy/task_placement.h
+++ b/filbertwick/core/policy/task_placement.h
@@ -42,8 +42,9 @@
   std::string_view required_label;
   /// Label of the rack that holds the task's data; empty for no preference.
   std::string_view data_rack;
-  /// The job fails when this run of the task fails. It is not used to find out
-  /// whether an upstream on probation works again.
+  /// The task has failed before, and the job fails when this run fails too. It
+  /// is not used to find out whether an upstream on probation works again,
+  /// unless most are on probation.
   bool is_last_attempt = false;
   /// Candidates with a higher run time ratio are not used, because the task
   /// would end too late there.
