Stop waking up for a start that a listing has answered

Cause: found by reading. A run whose start was carried out but not answered keeps its pending command after a listing has shown it; NextWakeup() then returned the command's timeout in the past, and the sidecar woke up without pause until the call itself timed out, 100 ms of a small core.

Change: a listing that shows the run answers the start as well. Test: does_not_wake_for_a_start_that_a_listing_has_shown failed before.

--- a/filbertwick/core/direct/direct_sidecar_upstream.cc
+++ b/filbertwick/core/direct/direct_sidecar_upstream.cc
@@ -461,6 +461,9 @@
   if (run.phase == RunPhase::kStarting) {
     run.phase = RunPhase::kRunning;
     run.is_confirmed = true;
+    // The listing answers the start command as well.
+    run.pending_command = 0;
+    run.spec.clear();
     // A held listing shows the state at the time of its answer. A listing that
     // was requested after this one, but produced before it, may not show this
     // run yet. Should it arrive later, it must not count as proof of the end.
--- a/unit_tests/direct_sidecar_test.cc
+++ b/unit_tests/direct_sidecar_test.cc
@@ -499,3 +499,17 @@
   cr_assert_eq(it.ends.size(), 1);
   cr_assert_eq(it.ends.front().kind, EndKind::kDone);
 }
+
+// The start is carried out, but its answer is lost.
+Test(direct_sidecar, does_not_wake_for_a_start_that_a_listing_has_shown) {
+  Fixture it;
+  it.Offer({"a"});
+  it.AdvanceTime(kMilli);
+  Listing listing = Fixture::EmptyListing(5);
+  listing.running.push_back({it.starts.front().run, 10});
+  it.AnswerListings(listing);
+  it.AdvanceTime(12 * kMilli);
+  cr_assert_eq(it.starts.size(), 1);
+  cr_assert_gt(it.sidecar->NextWakeup().time_since_epoch().count(),
+               it.now.time_since_epoch().count());
+}
