--- a/filbertwick/platform/sidecar_node.cc
+++ b/filbertwick/platform/sidecar_node.cc
@@ -37,9 +37,9 @@
 /// Idle time after which a connection is not reused, because the upstream
 /// closes connections that idle for longer.
 constexpr Duration kIdleTimeout = std::chrono::milliseconds(1200);
-/// Limit of connections to the upstream. A call takes about a millisecond, so a
-/// dozen carry the starts of a job with many tasks at once. Opening each
-/// further one costs time.
+/// Limit of connections to the upstream, well below what it accepts. A call
+/// takes about a millisecond, so a dozen carry the starts of a job with many
+/// tasks at once; as many again may be held by calls that are not answered.
 constexpr size_t kMaxConnections = 24;
 constexpr size_t kMaxAnnouncementBytes = 4 * 1024 * 1024;
 /// Path prefix of announcements; the id of the upstream follows.
