--- a/unit_tests/upstream_record_test.cc
+++ b/unit_tests/upstream_record_test.cc
@@ -19,7 +19,6 @@
 using filbertwick::ZoneName;
 using filbertwick::core::direct::UpstreamAnnouncement;
 using filbertwick::platform::StoreClient;
-using filbertwick::platform::TopicPartition;
 using filbertwick::platform::UpstreamRecord;
 using filbertwick::standin::PlatformStore;
 using filbertwick::test::LoopThread;
