Log overload, failed reads of the store and the age of the configuration

An entry that was cut off from the store for seconds left no trace of why: a saturated event loop, a full link and silent connections looked the same.

instance_overloaded, at most once a second, gives the delay of the event loop, the shortest round trip and the traffic between instances; control_read_failed every failed read of the control stream and the age of what is in force; snapshot_not_fetched a failed fetch from a peer, which was swallowed before; request_refused the age of the configuration.

--- a/filbertwick/net/instance_net.cc
+++ b/filbertwick/net/instance_net.cc
@@ -103,6 +103,7 @@
     control_position_ = position;
   }
   const core::direct::Membership& members() const { return members_; }
+  InstanceTraffic TakeTraffic() { return std::exchange(traffic_, {}); }
 
  private:
   void SendToHost(const std::string& host, const Datagram& datagram) {
@@ -110,6 +111,8 @@
     const auto address = asio::ip::make_address(host, ec);
     std::string bytes(1, kProtocolVersion);
     bytes += wire::EncodeValue(datagram);
+    ++traffic_.datagrams_sent;
+    traffic_.bytes_sent += bytes.size();
     if (ec || bytes.size() > kMaxDatagramBytes ||
         !port_->Send(Udp::endpoint(address, settings_.port), bytes)) {
       hooks_.log(LogLine("datagram_not_sent")
@@ -119,6 +122,8 @@
   }
 
   void HandleDatagram(const Udp::endpoint& from, std::string_view bytes) {
+    ++traffic_.datagrams_received;
+    traffic_.bytes_received += bytes.size();
     const bool same_version =
         !bytes.empty() && bytes.front() == kProtocolVersion;
     auto datagram =
@@ -144,6 +149,10 @@
   }
 
   void HandleDatagram(const std::string& host, SidecarMessage& message) {
+    const Duration echo =
+        MonotonicClock::now() - FromMicros(message.echoed_sent_at);
+    traffic_.shortest_echo =
+        std::min(traffic_.shortest_echo.value_or(echo), echo);
     AddMember({message.from, false, host}, true);
     hooks_.control_position_received(host, message.control);
     hooks_.sidecar_message(std::move(message));
@@ -209,6 +218,7 @@
   core::direct::ControlPosition control_position_;
   std::unique_ptr<DatagramPort> port_;
   Instant last_entry_message_time_;
+  InstanceTraffic traffic_;
 };
 
 InstanceNet::InstanceNet(std::shared_ptr<Impl> impl) : impl_(std::move(impl)) {}
@@ -246,5 +256,8 @@
 const core::direct::Membership& InstanceNet::members() const {
   return impl_->members();
 }
+InstanceTraffic InstanceNet::TakeTraffic() {
+  return impl_->TakeTraffic();
+}
 
 }  // namespace filbertwick::net
--- a/filbertwick/net/instance_net.h
+++ b/filbertwick/net/instance_net.h
@@ -7,16 +7,30 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "filbertwick/base/log_line.h"
 #include "filbertwick/base/name.h"
+#include "filbertwick/base/time.h"
 #include "filbertwick/core/direct/datagram.h"
 #include "filbertwick/core/direct/membership.h"
 
 namespace filbertwick::net {
 
+/// Datagrams between this instance and others over some time.
+struct InstanceTraffic {
+  uint64_t datagrams_received = 0;
+  uint64_t bytes_received = 0;
+  uint64_t datagrams_sent = 0;
+  uint64_t bytes_sent = 0;
+  /// Shortest time from the sending of an EntryMessage until a SidecarMessage
+  /// that echoes it was handled, which is about a round trip; unset when none
+  /// was handled.
+  std::optional<Duration> shortest_echo;
+};
+
 /// Identity of this instance and the hosts through which it finds others.
 struct InstanceNetSettings {
   core::direct::Member self;
@@ -71,6 +85,8 @@
   /// Sets the position in the control stream that is sent to other instances.
   void SetControlPosition(const core::direct::ControlPosition& position);
   const core::direct::Membership& members() const;
+  /// Returns the traffic since the previous call.
+  InstanceTraffic TakeTraffic();
 
  private:
   class Impl;
--- a/filbertwick/platform/control_follower.cc
+++ b/filbertwick/platform/control_follower.cc
@@ -53,6 +53,15 @@
       control_.Advance(end);
       hooks_.changed();
     };
+    hooks.call_ended = [this](const absl::Status& status) {
+      if (status.ok()) {
+        confirmed_at_ = MonotonicClock::now();
+      } else {
+        hooks_.log(LogLine("control_read_failed")
+                       .AddCause(status)
+                       .Add("age_us", Age().count()));
+      }
+    };
     hooks.store_changed = [this](const absl::Status& status) {
       hooks_.log(
           LogLine(status.ok() ? "store_regained" : "store_lost")
@@ -89,6 +98,7 @@
   }
 
   const ControlStreamState& current() const { return control_; }
+  Duration Age() const { return MonotonicClock::now() - confirmed_at_; }
 
  private:
   /// Applies the newest records of all keys. Zones without a record are back in
@@ -179,6 +189,10 @@
     fetching_ = false;
     behind_since_.reset();
     if (!result.response.ok() || result.response->status != 200) {
+      hooks_.log(LogLine("snapshot_not_fetched")
+                     .Add("host", host)
+                     .AddCause(result.response.status())
+                     .Add("age_us", Age().count()));
       // The next position that is ahead starts kFetchDelay again; one that is
       // still ahead after it triggers another fetch.
       return;
@@ -199,6 +213,7 @@
       ApplyConfiguration(offset - 1, snapshot->configuration, host);
     }
     control_.ResetZones(offset, std::move(snapshot->zones_out));
+    confirmed_at_ = MonotonicClock::now();
     hooks_.changed();
   }
 
@@ -212,6 +227,8 @@
   /// of this instance; unset when the last one was not.
   std::optional<Instant> behind_since_;
   bool fetching_ = false;
+  /// When the store or a snapshot last confirmed the present state.
+  Instant confirmed_at_ = MonotonicClock::now();
 };
 
 ControlFollower::ControlFollower(std::shared_ptr<Impl> impl)
@@ -246,4 +263,8 @@
   return impl_->current();
 }
 
+Duration ControlFollower::Age() const {
+  return impl_->Age();
+}
+
 }  // namespace filbertwick::platform
--- a/filbertwick/platform/control_follower.h
+++ b/filbertwick/platform/control_follower.h
@@ -50,6 +50,8 @@
   http::Response SnapshotResponse() const;
   /// The newest known state of the control stream.
   const core::direct::ControlStreamState& current() const;
+  /// Returns the time since that state was last confirmed to be the newest.
+  Duration Age() const;
 
  private:
   class Impl;
--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -290,14 +290,16 @@
   void LogRefusal(const http::Request& request,
                   const http::Response& response) const {
     const std::string_view path = PathOf(request);
-    context_.log(LogLine("request_refused")
-                     .Add("job", path.substr(path.rfind('/') + 1))
-                     .Add("method", request.method)
-                     .Add("status", response.status)
-                     .Add("answer", response.body)
-                     .Add("configuration",
-                          static_cast<int64_t>(
-                              peer_service_->control().position().version)));
+    context_.log(
+        LogLine("request_refused")
+            .Add("job", path.substr(path.rfind('/') + 1))
+            .Add("method", request.method)
+            .Add("status", response.status)
+            .Add("answer", response.body)
+            .Add("configuration",
+                 static_cast<int64_t>(
+                     peer_service_->control().position().version))
+            .Add("configuration_age_us", peer_service_->ControlAge().count()));
   }
 
   /// Returns the response, or nullopt when it is sent later.
--- a/filbertwick/platform/peer_service.cc
+++ b/filbertwick/platform/peer_service.cc
@@ -7,6 +7,7 @@
 
 #include "filbertwick/http/server.h"
 #include "filbertwick/net/instance_net.h"
+#include "filbertwick/platform/load_monitor.h"
 #include "filbertwick/platform/topic_follower.h"
 #include "filbertwick/wire/archive.h"
 
@@ -60,6 +61,9 @@
     if (absl::Status status = StartNetwork(settings); !status.ok()) {
       return status;
     }
+    load_monitor_ = LoadMonitor::Create(
+        context_.io, context_.counters,
+        {[this] { return network_->TakeTraffic(); }, context_.log});
     Register();
     if (self_.is_entry) {
       FollowInstances();
@@ -77,6 +81,7 @@
   const core::direct::ControlStreamState& control() const {
     return control_->current();
   }
+  Duration ControlAge() const { return control_->Age(); }
 
  private:
   absl::Status Listen(const PlatformSettings& settings) {
@@ -206,6 +211,7 @@
   std::unique_ptr<ControlFollower> control_;
   std::unique_ptr<net::InstanceNet> network_;
   std::unique_ptr<TopicFollower> instances_follower_;
+  std::unique_ptr<LoadMonitor> load_monitor_;
 };
 
 PeerService::PeerService(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
@@ -237,5 +243,8 @@
 const core::direct::ControlStreamState& PeerService::control() const {
   return impl_->control();
 }
+Duration PeerService::ControlAge() const {
+  return impl_->ControlAge();
+}
 
 }  // namespace filbertwick::platform
--- a/filbertwick/platform/peer_service.h
+++ b/filbertwick/platform/peer_service.h
@@ -51,6 +51,8 @@
   StoreClient& store();
   /// The newest known state of the control stream.
   const core::direct::ControlStreamState& control() const;
+  /// Returns the time since that state was last confirmed to be the newest.
+  Duration ControlAge() const;
 
  private:
   class Impl;
--- a/filbertwick/platform/topic_follower.cc
+++ b/filbertwick/platform/topic_follower.cc
@@ -60,6 +60,7 @@
     following_ = true;
     hooks_.newest(newest_records_, position_);
     newest_records_.clear();
+    hooks_.call_ended(absl::OkStatus());
     Read();
   }
 
@@ -87,6 +88,7 @@
       position_ = batch->next;
       hooks_.read(batch->records, position_);
     }
+    hooks_.call_ended(absl::OkStatus());
     Read();
   }
 
@@ -100,6 +102,7 @@
 
   /// Reports the first failure and repeats the call after the retry delay.
   void RetryLater(const absl::Status& status) {
+    hooks_.call_ended(status);
     if (!std::exchange(store_lost_, true)) {
       hooks_.store_changed(status);
     }
--- a/filbertwick/platform/topic_follower.h
+++ b/filbertwick/platform/topic_follower.h
@@ -28,6 +28,9 @@
   /// Called with the status of the failed call when the store has become
   /// unreachable, and with OK when it is reachable again.
   std::function<void(const absl::Status&)> store_changed;
+  /// Called with the status of every call, after its records were passed on.
+  std::function<void(const absl::Status&)> call_ended =
+      [](const absl::Status&) {};
 };
 
 /// Follows a keyed topic: reads the newest record of each key, then all further
