--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -68,7 +68,21 @@
   add_executable(${name} ${CMAKE_SOURCE_DIR}/unit_tests/${name}.cc)
   list(TRANSFORM ARGN PREPEND fw_)
   target_link_libraries(${name} PRIVATE ${ARGN} PkgConfig::CRITERION)
-  add_test(NAME ${name} COMMAND ${name} --jobs 2
+  # A line `test: <program> <suite>/<test>` of KNOWN-RED.txt takes one test out
+  # of its program's run and into one with the label known_red.
+  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS
+                                         ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
+  file(STRINGS ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt red REGEX " test: ${name} ")
+  list(TRANSFORM red REPLACE "^ *test: [^ ]+ ([^ ]+) *$" "\\1")
+  set(passing)
+  if(red)
+    list(JOIN red "|" red)
+    set(passing --filter "!(${red})")
+    add_test(NAME ${name}_known_red COMMAND ${name} --filter "@(${red})"
+             WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+    set_tests_properties(${name}_known_red PROPERTIES LABELS known_red)
+  endif()
+  add_test(NAME ${name} COMMAND ${name} --jobs 2 ${passing}
            WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
   set_tests_properties(${name} PROPERTIES TIMEOUT 300)
 endfunction()
--- a/filbertwick/harness/direct_cluster.cc
+++ b/filbertwick/harness/direct_cluster.cc
@@ -7,6 +7,8 @@
 #include <utility>
 #include <variant>
 
+#include "filbertwick/wire/archive.h"
+
 namespace filbertwick::harness {
 namespace {
 
@@ -279,10 +281,15 @@
   });
 }
 
+size_t DirectCluster::MeasureMessage(const direct::Datagram& message) const {
+  return settings_.measure_messages ? wire::EncodeValue(message).size() : 0;
+}
+
 void DirectCluster::SendToSidecar(uint32_t from,
                                   direct::SendToSidecarEffect send) {
   const uint32_t to = IndexOf(send.to);
-  const Duration delay = hooks_.message_delay({from, to, true});
+  const Duration delay =
+      hooks_.message_delay({from, to, true, MeasureMessage(send.message)});
   // A datagram reaches the incarnation that runs when it arrives.
   loop_.After(delay, [this, to, message = std::move(send.message)] {
     RunWhenAvailable(
@@ -297,7 +304,8 @@
 void DirectCluster::HandleEffect(uint32_t from,
                                  direct::SendToEntryEffect& send) {
   const uint32_t to = IndexOf(send.to);
-  const Duration delay = hooks_.message_delay({to, from, false});
+  const Duration delay =
+      hooks_.message_delay({to, from, false, MeasureMessage(send.message)});
   loop_.After(delay, [this, to, message = std::move(send.message)] {
     RunWhenAvailable(
         entries_[to], entries_[to].incarnation, [this, to, message] {
--- a/filbertwick/harness/direct_cluster.h
+++ b/filbertwick/harness/direct_cluster.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "filbertwick/core/direct/datagram.h"
 #include "filbertwick/core/direct/direct_entry.h"
 #include "filbertwick/core/direct/direct_sidecar.h"
 #include "filbertwick/harness/direct_upstream.h"
@@ -24,6 +25,9 @@
   uint32_t entry = 0;
   uint32_t sidecar = 0;
   bool to_sidecar = false;
+  /// Encoded size of the message; 0 unless
+  /// DirectClusterSettings::measure_messages is set.
+  size_t message_bytes = 0;
 };
 
 /// What happens to a command on its way to the upstream.
@@ -64,6 +68,8 @@
   core::direct::DirectSidecarSettings sidecar;
   /// Capacity of the upstream beside each sidecar.
   std::vector<core::direct::Resources> capacities;
+  /// Encodes each message to know its size, which takes time.
+  bool measure_messages = false;
 };
 
 /// The service of all upstreams of a DirectCluster.
@@ -166,6 +172,8 @@
   void ScheduleWakeup(Process& process,
                       Instant due,
                       std::function<void()> wake);
+  /// Returns the encoded size of a message, or 0 when it is not measured.
+  size_t MeasureMessage(const core::direct::Datagram& message) const;
   void SendToSidecar(uint32_t from, core::direct::SendToSidecarEffect send);
   void HandleEffect(uint32_t from, core::direct::SendToEntryEffect& send);
   void HandleEffect(uint32_t n,
--- a/filbertwick/harness/load_replay.cc
+++ b/filbertwick/harness/load_replay.cc
@@ -47,6 +47,8 @@
       : pattern_(pattern),
         random_(pattern.seed),
         open_(pattern.entries),
+        outbound_free_at_(pattern.entries),
+        inbound_free_at_(pattern.entries),
         cluster_(loop_, ClusterSettings(pattern), ClusterHooks()) {
     const auto seconds = static_cast<size_t>(
         (pattern.length + std::chrono::seconds(1) - Duration(1)) /
@@ -97,6 +99,7 @@
     settings.sidecars = pattern.sidecars;
     settings.entry = pattern.entry;
     settings.sidecar = pattern.sidecar;
+    settings.measure_messages = pattern.entry_link_bytes_per_second > 0;
     settings.capacities.assign(pattern.sidecars,
                                {pattern.cpu_millis_per_upstream, 1'000'000, 0});
     return settings;
@@ -104,7 +107,9 @@
 
   DirectClusterHooks ClusterHooks() {
     DirectClusterHooks hooks;
-    hooks.message_delay = [](const DirectLink&) { return kMessageDelay; };
+    hooks.message_delay = [this](const DirectLink& link) {
+      return kMessageDelay + TimeOnLink(link);
+    };
     hooks.command_fate = [this](uint32_t, bool) {
       const bool late = late_commands_ > 0 && random_.Chance(late_commands_);
       return CommandFate{
@@ -123,6 +128,25 @@
     return hooks;
   }
 
+  /// Returns the time that a message spends waiting for the link of its entry
+  /// and passing it.
+  Duration TimeOnLink(const DirectLink& link) {
+    if (pattern_.entry_link_bytes_per_second == 0) {
+      return Duration(0);
+    }
+    const LoadEvent* narrow = Active(LoadEvent::Type::kNarrowLinks);
+    const double bytes_per_second =
+        static_cast<double>(pattern_.entry_link_bytes_per_second) *
+        (narrow != nullptr ? narrow->factor : 1);
+    Duration& free_at =
+        (link.to_sidecar ? outbound_free_at_ : inbound_free_at_)[link.entry];
+    const double seconds =
+        static_cast<double>(link.message_bytes) / bytes_per_second;
+    free_at = std::max(free_at, loop_.now()) +
+              Duration(static_cast<int64_t>(seconds * 1e6));
+    return free_at - loop_.now();
+  }
+
   /// Returns the events of a type that are in force now.
   const LoadEvent* Active(LoadEvent::Type type) const {
     const auto it = std::ranges::find_if(
@@ -265,6 +289,7 @@
     request.target =
         pattern_.target_latency + Scale(step.estimate, pattern_.stretch);
     request.steps.push_back(std::move(step));
+    request.spec.assign(spec.spec_bytes, 's');
     const uint64_t number = request.request;
     const auto n = static_cast<uint32_t>(random_.Below(pattern_.entries));
     ++FiguresOfSecond(job).asked;
@@ -380,6 +405,9 @@
   std::map<uint64_t, Job> jobs_;
   /// Requests of connected callers, for each entry.
   std::vector<std::set<uint64_t>> open_;
+  /// When the link of each entry has carried all messages sent so far.
+  std::vector<Duration> outbound_free_at_;
+  std::vector<Duration> inbound_free_at_;
   uint64_t last_request_ = 0;
   LoadResult result_;
   DirectCluster cluster_;
--- a/filbertwick/harness/load_replay.h
+++ b/filbertwick/harness/load_replay.h
@@ -24,6 +24,8 @@
   uint32_t max_attempts = 2;
   /// Value of an answer in time.
   double worth = 1;
+  /// Size of the description that each task is started with.
+  size_t spec_bytes = 0;
 };
 
 /// A change of the load or of the upstreams.
@@ -46,6 +48,9 @@
     /// All entries and sidecars lose power, and their upstreams with them if
     /// `factor` is above 0; they are back at the end of the event.
     kPowerLoss,
+    /// The links of the entries carry the share `factor` of
+    /// LoadPattern::entry_link_bytes_per_second.
+    kNarrowLinks,
   };
 
   Type type = Type::kBurst;
@@ -66,6 +71,9 @@
   /// A job's target latency is this plus `stretch` times its run time.
   Duration target_latency = std::chrono::milliseconds(60);
   double stretch = 1.6;
+  /// What the link of an entry carries each way; messages wait for those before
+  /// them. 0 is no limit.
+  uint64_t entry_link_bytes_per_second = 0;
   /// How long callers wait.
   Duration time_limit = std::chrono::milliseconds(2500);
   uint64_t seed = 1;
--- a/unit_tests/direct_entry_test.cc
+++ b/unit_tests/direct_entry_test.cc
@@ -605,3 +605,54 @@
   }
   cr_assert_eq(tasks, 4);
 }
+
+// A sidecar that answers nothing gets requests for an answer, and the offer
+// again only when it has answered one of them.
+Test(direct_entry, does_not_resend_offers_to_a_sidecar_that_does_not_answer) {
+  Fixture it;
+  it.Submit(it.Job("j", 1));
+  cr_assert_eq(it.offers.size(), 1);
+  const auto [n, offer] = it.offers.front();
+  for (int step = 0; step < 100; ++step) {
+    it.AdvanceTime(10 * kMilli);
+  }
+  cr_assert_eq(it.offers.size(), 1, "%lu offers sent", it.offers.size());
+  it.SendFromSidecar(n, {}, {});
+  it.AdvanceTime(kMilli);
+  cr_assert_eq(it.offers.size(), 2);
+  cr_assert_eq(it.offers.back().second.id, offer.id);
+}
+
+Test(direct_entry, does_not_resend_stops_to_a_sidecar_that_does_not_answer) {
+  Fixture it;
+  it.Submit(it.Job("j", 1));
+  const auto [n, run] = it.AcceptOffers().front();
+  EntryEffects effects;
+  it.entry->OnCallerGone(it.now, it.last_request, effects);
+  it.Collect(effects);
+  cr_assert_eq(it.stops.size(), 1);
+  for (int step = 0; step < 100; ++step) {
+    it.AdvanceTime(10 * kMilli);
+  }
+  cr_assert_eq(it.stops.size(), 1, "%lu stops sent", it.stops.size());
+  it.SendFromSidecar(n, {}, {});
+  it.AdvanceTime(kMilli);
+  cr_assert_eq(it.stops.size(), 2);
+}
+
+// Messages that arrive are no sign of a working path when they answer requests
+// of a second ago.
+Test(direct_entry, offers_nothing_over_a_path_that_takes_too_long) {
+  Fixture it;
+  const SidecarMessage late[] = {it.MessageFrom(0, 2), it.MessageFrom(1, 2)};
+  for (int step = 0; step < 100; ++step) {
+    it.AdvanceTime(10 * kMilli);
+    for (SidecarMessage message : late) {
+      message.clock = ToMicros(it.now - 500 * kMilli);
+      it.Deliver(message);
+    }
+  }
+  it.Submit(it.Job("j", 1));
+  cr_assert(it.offers.empty());
+  cr_assert_eq(it.entry->Status(it.now).usable_sidecars, 0);
+}
--- a/unit_tests/load_replay_test.cc
+++ b/unit_tests/load_replay_test.cc
@@ -124,3 +124,24 @@
                 result.used_cpu_millis[sample],
                 result.present_cpu_millis[sample]);
 }
+
+// The links of the entries carry a fifth of what they usually do for a second.
+// What is resent meanwhile must not keep them full afterwards.
+Test(load_replay, serves_in_time_again_soon_after_a_narrow_link) {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    LoadPattern pattern = TicketSalesLoad(1);
+    std::ranges::for_each(pattern.kinds,
+                          [](auto& kind) { kind.spec_bytes = 1200; });
+    pattern.entry_link_bytes_per_second = 600'000;
+    pattern.events = {{Type::kNarrowLinks, 2 * kSecond, kSecond, 0.2}};
+    pattern.seed = seed;
+    const LoadResult result = ReplayLoad(pattern);
+    cr_assert_eq(result.violations, 0);
+    for (size_t second = 5; second < result.seconds.size(); ++second) {
+      const LoadFigures& figures = result.seconds[second];
+      cr_expect_geq(figures.in_time, figures.asked * 99 / 100,
+                    "seed %lu, second %lu: %u of %u in time", seed, second,
+                    figures.in_time, figures.asked);
+    }
+  }
+}
