Resend only to sidecars that answer, and offer nothing over a slow path

Cause: an unanswered offer or stop was sent again every 30 ms, whole, for as long as no answer came. Once answers took longer than that, resends filled the link of the entry, so that answers took longer still, those of the store and of other instances included: up to 12 MB a second on a link of 3 MB, round trips of seven seconds, long after the load was gone. A message that answered a request of seconds ago also counted as a sign of a working path, so that the entry stayed ready and went on offering.

An item is now sent again only when the sidecar has answered a later message; a sidecar that answers nothing is asked for an answer, which takes a hundred bytes. Requests count as answered by what the answer echoes.

--- a/filbertwick/core/direct/direct_entry.cc
+++ b/filbertwick/core/direct/direct_entry.cc
@@ -198,7 +198,7 @@
 void DirectEntry::Impl::StopRun(Instant now,
                                 SidecarView& view,
                                 const TaskRun& run) {
-  if (view.stops.emplace(run, now).second) {
+  if (view.stops.emplace(run, policy::ResendTimer(now)).second) {
     stopping_tasks_.insert(run.task);
   }
   view.send_due = true;
@@ -281,13 +281,10 @@
       view.send_due = true;
       view.wants_reply = true;
     }
-    const bool resend =
-        std::ranges::any_of(
-            view.offers | std::views::values,
-            [&](const OpenOffer& open) { return now >= open.resend_due; }) ||
-        std::ranges::any_of(view.stops | std::views::values,
-                            [&](Instant due) { return now >= due; });
-    view.send_due |= resend || now >= view.ack_due;
+    view.ForEachResend([&](const policy::ResendTimer& resend) {
+      view.send_due |= now >= resend.due();
+    });
+    view.send_due |= now >= view.ack_due;
   }
   placement_due_ |= !wait_queue_.empty();
 }
@@ -304,14 +301,37 @@
     if (view.IsBusy()) {
       note_due(view.last_heard + SidecarTimeout() + Duration(1));
     }
-    for (const OpenOffer& open : view.offers | std::views::values) {
-      note_due(open.resend_due);
+    view.ForEachResend(
+        [&](const policy::ResendTimer& resend) { note_due(resend.due()); });
+  }
+  return next;
+}
+
+void DirectEntry::Impl::AddDueItems(Instant now,
+                                    SidecarView& view,
+                                    EntryMessage& message) {
+  // Returns true when the item is to be sent with this message.
+  const auto is_sent = [&](policy::ResendTimer& resend) {
+    using Action = policy::ResendTimer::Action;
+    const Action action = resend.ActionAt(now, view.newest_echo);
+    if (action == Action::kSend) {
+      resend.Sent(now, settings_.resend_interval);
+    } else if (action == Action::kProbe) {
+      resend.Probed();
+      view.wants_reply = true;
     }
-    for (const Instant due : view.stops | std::views::values) {
-      note_due(due);
+    return action == Action::kSend;
+  };
+  for (OpenOffer& open : view.offers | std::views::values) {
+    if (is_sent(open.resend)) {
+      message.offers.push_back(open.offer);
+    }
+  }
+  for (auto& [run, resend] : view.stops) {
+    if (is_sent(resend)) {
+      message.stops.push_back(run);
     }
   }
-  return next;
 }
 
 EntryMessage DirectEntry::Impl::ComposeMessage(Instant now, SidecarView& view) {
@@ -323,22 +343,10 @@
   message.acknowledged_end = view.acknowledged_end;
   message.control = control_;
   message.has_waiting_jobs = !wait_queue_.empty();
+  AddDueItems(now, view, message);
   message.wants_reply = std::exchange(view.wants_reply, false);
-  for (OpenOffer& open : view.offers | std::views::values) {
-    if (now >= open.resend_due) {
-      open.resend_due = now + settings_.resend_interval;
-      message.offers.push_back(open.offer);
-    }
-  }
-  for (auto& [run, due] : view.stops) {
-    if (now >= due) {
-      due = now + settings_.resend_interval;
-      message.stops.push_back(run);
-    }
-  }
-  if (message.wants_reply || !message.offers.empty() ||
-      !message.stops.empty()) {
-    view.unanswered_since = std::min(view.unanswered_since, now);
+  if (message.wants_reply || !message.offers.empty()) {
+    view.unanswered.Sent(now);
   }
   view.send_due = false;
   view.ack_due = Instant::max();
--- a/filbertwick/core/direct/direct_entry_impl.h
+++ b/filbertwick/core/direct/direct_entry_impl.h
@@ -106,7 +106,7 @@
                          double slow_ratio) const;
   bool IsUsable(Instant now, const SidecarView& view) const;
   bool IsUnresponsive(Instant now, const SidecarView& view) const {
-    return view.unanswered_since < now - settings_.reply_timeout;
+    return view.unanswered.Oldest() < now - settings_.reply_timeout;
   }
   void SendOffers(Instant now,
                   DirectJob& job,
@@ -140,6 +140,9 @@
     return settings_.times.OrphanBound() + settings_.times.max_offer_age;
   }
   void AnnounceWaitingJobs(Instant now);
+  /// Adds the offers and stops that are due to a message, and requests a reply
+  /// where one is needed to know whether others are lost.
+  void AddDueItems(Instant now, SidecarView& view, EntryMessage& message);
   EntryMessage ComposeMessage(Instant now, SidecarView& view);
 
   const Peer self_;
--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -196,7 +196,8 @@
     offer.id = id;
     offer.spec = job.spec.spec;
     offer.service = job.spec.service;
-    view.offers[id] = {std::move(offer), {}, now};
+    view.offers.emplace(
+        id, OpenOffer{std::move(offer), {}, policy::ResendTimer(now)});
     view.send_due = true;
   }
 }
@@ -228,6 +229,7 @@
   for (const OfferReply& reply : message.replies) {
     HandleReply(now, view, reply);
   }
+  view.RecordEcho(now, FromMicros(message.echoed_sent_at));
   if (message.clock < view.clock) {
     return;
   }
@@ -240,7 +242,6 @@
   }
   view.clock = message.clock;
   view.last_heard = now;
-  view.unanswered_since = Instant::max();
   view.accepts_tasks = message.accepts_tasks;
   view.upstream = message.upstream;
   view.free = message.free;
@@ -269,6 +270,10 @@
             .Add("runs", static_cast<int64_t>(view.runs.size())));
   }
   view.unconfirmed_runs = view.TakeUnfinishedRuns();
+  // The new incarnation has received none of the stops.
+  for (policy::ResendTimer& resend : view.stops | std::views::values) {
+    resend = policy::ResendTimer(now);
+  }
   view.incarnation = incarnation;
   view.found_at = now;
   view.clock = 0;
--- a/filbertwick/core/direct/sidecar_view.cc
+++ b/filbertwick/core/direct/sidecar_view.cc
@@ -42,6 +42,14 @@
   return all;
 }
 
+void SidecarView::RecordEcho(Instant now, Instant echo) {
+  newest_echo = std::max(newest_echo, echo);
+  unanswered.Answered(newest_echo);
+  ForEachResend([&](policy::ResendTimer& resend) {
+    send_due |= resend.Answered(now, newest_echo);
+  });
+}
+
 bool SidecarView::IsSpeedUnknown(Instant now, double slow_ratio) const {
   return run_time_ratio > slow_ratio &&
          now - run_time_measured_at > kSlowMemory;
--- a/filbertwick/core/direct/sidecar_view.h
+++ b/filbertwick/core/direct/sidecar_view.h
@@ -3,11 +3,14 @@
 
 #include <cstdint>
 #include <map>
+#include <ranges>
 #include <set>
 #include <vector>
 
 #include "filbertwick/base/time.h"
 #include "filbertwick/core/direct/message.h"
+#include "filbertwick/core/policy/resend_timer.h"
+#include "filbertwick/core/policy/unanswered_requests.h"
 
 namespace filbertwick::core::direct {
 
@@ -17,8 +20,7 @@
   /// Runs of the offer that have ended. They stay in `offer`, whose order of
   /// tasks is that of the reply.
   std::set<TaskRun> ended;
-  /// When the offer is resent.
-  Instant resend_due;
+  policy::ResendTimer resend;
 };
 
 /// An upstream is slow when its run time ratio exceeds this multiple of the
@@ -41,9 +43,11 @@
   /// When this incarnation of the sidecar was first heard; before that, when
   /// the sidecar was added.
   Instant found_at;
-  /// Send time of the first unanswered message that asks for a reply or
-  /// contains offers or stops; Instant::max() when all are answered.
-  Instant unanswered_since = Instant::max();
+  /// Send time of the newest message that the sidecar is known to have
+  /// received.
+  Instant newest_echo = Instant::min();
+  /// The unanswered messages that ask for a reply or contain offers.
+  policy::UnansweredRequests unanswered;
   bool accepts_tasks = false;
   UpstreamProfile upstream;
   /// Free resources as last reported, less those of unanswered offers.
@@ -54,9 +58,8 @@
   std::map<uint64_t, OpenOffer> offers;
   /// Runs that the sidecar has accepted and that have not ended.
   std::set<TaskRun> runs;
-  /// Runs to be stopped whose end is not reported yet, with the time of the
-  /// next resend.
-  std::map<TaskRun, Instant> stops;
+  /// Runs to be stopped whose end is not reported yet.
+  std::map<TaskRun, policy::ResendTimer> stops;
   /// Unfinished runs from an earlier incarnation of the sidecar. They have
   /// certainly ended once the present incarnation accepts tasks, since it first
   /// stops all runs that it finds at the upstream.
@@ -106,6 +109,29 @@
   /// and clears `offers`, `runs` and `unconfirmed_runs`; `stops` stays.
   std::set<TaskRun> TakeUnfinishedRuns();
 
+  /// Calls `visit` with the timer of every unanswered offer and stop.
+  template <typename Visit>
+  void ForEachResend(Visit visit) {
+    for (OpenOffer& open : offers | std::views::values) {
+      visit(open.resend);
+    }
+    for (policy::ResendTimer& resend : stops | std::views::values) {
+      visit(resend);
+    }
+  }
+  template <typename Visit>
+  void ForEachResend(Visit visit) const {
+    for (const OpenOffer& open : offers | std::views::values) {
+      visit(open.resend);
+    }
+    for (const policy::ResendTimer& resend : stops | std::views::values) {
+      visit(resend);
+    }
+  }
+
+  /// Records that the sidecar has received the messages sent up to `echo`.
+  void RecordEcho(Instant now, Instant echo);
+
   /// Returns true when this entry has unfinished work at the sidecar.
   bool IsBusy() const {
     return !offers.empty() || !runs.empty() || !stops.empty() ||
--- a/unit_tests/direct_policy_test.cc
+++ b/unit_tests/direct_policy_test.cc
@@ -4,8 +4,10 @@
 #include <string>
 #include <vector>
 
+#include "filbertwick/core/policy/resend_timer.h"
 #include "filbertwick/core/policy/retry_after_estimator.h"
 #include "filbertwick/core/policy/task_placement.h"
+#include "filbertwick/core/policy/unanswered_requests.h"
 #include "filbertwick/core/policy/waiting_job_queue.h"
 
 namespace {
@@ -15,7 +17,9 @@
 using filbertwick::core::policy::PlacementCandidate;
 using filbertwick::core::policy::PlacementTask;
 using filbertwick::core::policy::PlaceTasks;
+using filbertwick::core::policy::ResendTimer;
 using filbertwick::core::policy::RetryAfterEstimator;
+using filbertwick::core::policy::UnansweredRequests;
 using filbertwick::core::policy::WaitingJobQueue;
 
 Instant At(int64_t millis) {
@@ -202,3 +206,31 @@
   cr_assert_eq(std::ranges::count(places, std::optional<size_t>(0)), 1);
   cr_assert_eq(std::ranges::count(places, std::optional<size_t>(1)), 2);
 }
+
+Test(resend_timer, resends_only_what_a_peer_that_answers_has_not_received) {
+  using Action = ResendTimer::Action;
+  ResendTimer timer(At(0));
+  cr_assert(timer.ActionAt(At(0), Instant::min()) == Action::kSend);
+  timer.Sent(At(0), std::chrono::milliseconds(30));
+  cr_assert(timer.ActionAt(At(29), At(20)) == Action::kNone);
+  cr_assert(timer.ActionAt(At(30), At(20)) == Action::kSend);
+  cr_assert(timer.ActionAt(At(30), At(0)) == Action::kProbe);
+  timer.Probed();
+  cr_assert(timer.due() == Instant::max());
+  cr_assert_not(timer.Answered(At(40), At(0)));
+  cr_assert(timer.Answered(At(50), At(30)));
+  cr_assert(timer.ActionAt(At(50), At(30)) == Action::kSend);
+}
+
+Test(unanswered_requests, an_old_echo_leaves_later_requests_open) {
+  UnansweredRequests requests;
+  cr_assert(requests.Oldest() == Instant::max());
+  for (int64_t millis = 0; millis <= 1000; millis += 10) {
+    requests.Sent(At(millis));
+  }
+  cr_assert(requests.Oldest() == At(0));
+  requests.Answered(At(500));
+  cr_assert(requests.Oldest() == At(550));
+  requests.Answered(At(1000));
+  cr_assert(requests.Oldest() == Instant::max());
+}
