Leave silent connections after the first call that times out

Where open connections go silent without a reset, each call over one of them had to time out before the next one was tried: a read of the control stream takes three seconds to fail, so an instance with two idle connections to the store could miss changes for nine seconds, long after the network was sound again.

A call that times out now also closes the connections that have been idle since it was sent. Those over which something arrived later are kept, so that one unanswered command to an upstream does not cost new connections to it.

http_client leaves_silent_connections_after_one_timeout failed before (no new connection).

--- a/filbertwick/http/client.cc
+++ b/filbertwick/http/client.cc
@@ -113,6 +113,8 @@
   class Connection;
 
   void Close();
+  /// Closes the idle connections over which nothing has arrived since `since`.
+  void CloseConnectionsIdleSince(Instant since);
   /// Assigns queued calls to connections until the queue is empty or
   /// max_connections is reached.
   void SendQueuedCalls();
@@ -169,6 +171,8 @@
 
   CallProgress progress() const { return progress_; }
   Instant idle_since() const { return idle_since_; }
+  /// When the present call was handed to the connection.
+  Instant sent_at() const { return sent_at_; }
 
  private:
   /// Continues with the request, or fails the call if connecting failed.
@@ -213,10 +217,12 @@
   bool write_failed_ = false;
   CallProgress progress_ = CallProgress::kNotSent;
   Instant idle_since_;
+  Instant sent_at_;
 };
 
 void Client::Impl::Connection::Send(uint64_t call_id, const Request& request) {
   call_id_ = call_id;
+  sent_at_ = MonotonicClock::now();
   head_ = FormatRequestHead(request, owner_.host_);
   body_ = request.body;
   bytes_written_ = 0;
@@ -463,6 +469,16 @@
   return connection;
 }
 
+void Client::Impl::CloseConnectionsIdleSince(Instant since) {
+  // The most recently used one is at the back.
+  const auto end = std::ranges::find_if(
+      idle_connections_,
+      [since](const auto& it) { return it->idle_since() >= since; });
+  const std::vector<std::shared_ptr<Connection>> old(idle_connections_.begin(),
+                                                     end);
+  std::ranges::for_each(old, [](const auto& it) { it->Close(); });
+}
+
 void Client::Impl::AbortCall(uint64_t call_id, absl::Status status) {
   const auto pending = calls_.find(call_id);
   if (pending == calls_.end() || pending->second.aborted) {
@@ -474,6 +490,11 @@
   if (busy != busy_connections_.end()) {
     const auto connection = busy->second;
     progress = connection->progress();
+    if (absl::IsDeadlineExceeded(status)) {
+      // The other connections may be as silent as this one. A call over each of
+      // them would have to time out before a new one is opened.
+      CloseConnectionsIdleSince(connection->sent_at());
+    }
     connection->Close();
   }
   PostCompleteCall(call_id, std::move(status), progress);
--- a/filbertwick/http/client.h
+++ b/filbertwick/http/client.h
@@ -54,8 +54,9 @@
 using CallHook = std::function<void(CallResult)>;
 
 /// An HTTP/1.1 client with a pool of connections to one server. Each connection
-/// carries one call at a time. The client never retries a request: the server
-/// may already have acted on one of which a byte was sent
+/// carries one call at a time. A call that times out closes its connection and
+/// those that have been idle since it was sent. The client never retries a
+/// request: the server may already have acted on one of which a byte was sent
 /// (CallProgress::kSent). All methods must be called on the thread that runs
 /// the io_context. Hooks run on that thread too, never from within a method of
 /// the client and never after its destruction.
--- a/unit_tests/http_client_test.cc
+++ b/unit_tests/http_client_test.cc
@@ -175,6 +175,31 @@
   cr_assert(cancelled.progress == CallProgress::kSent);
 }
 
+// The server goes silent on all open connections and answers on new ones, as
+// after a fault in the network between them.
+Test(http_client, leaves_silent_connections_after_one_timeout) {
+  RawServer server;
+  TestClient client(server.settings);
+  std::vector<std::future<CallResult>> calls;
+  std::vector<boost::asio::ip::tcp::socket> silent;
+  for (int i = 0; i < 3; ++i) {
+    calls.push_back(client.Call({}, kTestTimeout));
+    silent.push_back(server.Accept());
+    RawServer::ReadHead(silent.back());
+  }
+  for (int i = 0; i < 3; ++i) {
+    RawServer::Send(silent[i], "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    cr_assert(calls[i].get().response.ok());
+  }
+  const CallResult timed_out = client.Call({}, kShortTimeout).get();
+  cr_assert(absl::IsDeadlineExceeded(timed_out.response.status()));
+  client.Call({}, kShortTimeout).wait();
+  server.acceptor.non_blocking(true);
+  boost::system::error_code ec;
+  server.acceptor.accept(ec);
+  cr_assert(!ec, "no new connection: %s", ec.message().c_str());
+}
+
 Test(http_client, cancelled_queued_call_is_never_sent) {
   RawServer server;
   server.settings.max_connections = 1;
