Deny a route only by a confirmed configuration

A caller asked for a route that had been added, and was refused with 404 as an older version says. An instance that can read neither the store nor a peer keeps its version, which is right for the jobs it knows, but its 404 claimed that the route did not exist.

An instance whose copy may lack a change that has to be in force answers 503 with Retry-After instead of 404; so does one that has started and knows the configuration only from a peer that is not confirmed either.

--- a/filbertwick/platform/control_follower.cc
+++ b/filbertwick/platform/control_follower.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "filbertwick/http/client.h"
+#include "filbertwick/http/target.h"
 #include "filbertwick/platform/job_codec.h"
 #include "filbertwick/platform/topic_follower.h"
 #include "filbertwick/wire/archive.h"
@@ -31,6 +32,8 @@
 /// wait for the configuration.
 constexpr Duration kFirstFetchDelay = std::chrono::milliseconds(20);
 constexpr Duration kFetchTimeout = std::chrono::milliseconds(500);
+/// Header of a snapshot: microseconds since it was known to be the newest.
+constexpr std::string_view kAgeHeader = "Control-Age-Micros";
 
 }  // namespace
 
@@ -39,8 +42,12 @@
  public:
   Impl(boost::asio::io_context& context,
        uint16_t peer_port,
+       Duration bound,
        ControlFollowerHooks hooks)
-      : context_(context), peer_port_(peer_port), hooks_(std::move(hooks)) {}
+      : context_(context),
+        peer_port_(peer_port),
+        hooks_(std::move(hooks)),
+        freshness_(bound) {}
 
   void StartFollowing(StoreClient& store, Duration poll) {
     TopicFollowerHooks hooks;
@@ -55,11 +62,11 @@
     };
     hooks.call_ended = [this](const absl::Status& status) {
       if (status.ok()) {
-        confirmed_at_ = MonotonicClock::now();
+        freshness_.Confirm(MonotonicClock::now());
       } else {
         hooks_.log(LogLine("control_read_failed")
                        .AddCause(status)
-                       .Add("age_us", Age().count()));
+                       .Add("age_us", LoggedAge()));
       }
     };
     hooks.store_changed = [this](const absl::Status& status) {
@@ -93,14 +100,23 @@
 
   http::Response SnapshotResponse() const {
     http::Response response;
+    if (const auto age = freshness_.Age(MonotonicClock::now())) {
+      response.headers.push_back(
+          {std::string(kAgeHeader), std::to_string(age->count())});
+    }
     response.body = wire::EncodeValue(control_.snapshot());
     return response;
   }
 
   const ControlStreamState& current() const { return control_; }
-  Duration Age() const { return MonotonicClock::now() - confirmed_at_; }
+  const core::direct::ControlFreshness& freshness() const { return freshness_; }
 
  private:
+  /// Age in microseconds for a log line; -1 when it is not known.
+  int64_t LoggedAge() const {
+    return freshness_.Age(MonotonicClock::now()).value_or(Duration(-1)).count();
+  }
+
   /// Applies the newest records of all keys. Zones without a record are back in
   /// service; without a readable record of the configuration, the present one
   /// stays in force.
@@ -178,21 +194,24 @@
     request.target = "/control";
     client->Call(
         std::move(request), kFetchTimeout,
-        [weak = weak_from_this(), host](const http::CallResult& result) {
+        [weak = weak_from_this(), host,
+         sent_at = MonotonicClock::now()](const http::CallResult& result) {
           if (const auto self = weak.lock()) {
-            self->OnFetched(host, result);
+            self->OnFetched(host, sent_at, result);
           }
         });
   }
 
-  void OnFetched(const std::string& host, const http::CallResult& result) {
+  void OnFetched(const std::string& host,
+                 Instant sent_at,
+                 const http::CallResult& result) {
     fetching_ = false;
     behind_since_.reset();
     if (!result.response.ok() || result.response->status != 200) {
       hooks_.log(LogLine("snapshot_not_fetched")
                      .Add("host", host)
                      .AddCause(result.response.status())
-                     .Add("age_us", Age().count()));
+                     .Add("age_us", LoggedAge()));
       // The next position that is ahead starts kFetchDelay again; one that is
       // still ahead after it triggers another fetch.
       return;
@@ -213,7 +232,10 @@
       ApplyConfiguration(offset - 1, snapshot->configuration, host);
     }
     control_.ResetZones(offset, std::move(snapshot->zones_out));
-    confirmed_at_ = MonotonicClock::now();
+    if (const auto age =
+            http::ParseNumber(result.response->FindHeader(kAgeHeader))) {
+      freshness_.Confirm(sent_at - Duration(static_cast<int64_t>(*age)));
+    }
     hooks_.changed();
   }
 
@@ -227,8 +249,7 @@
   /// of this instance; unset when the last one was not.
   std::optional<Instant> behind_since_;
   bool fetching_ = false;
-  /// When the store or a snapshot last confirmed the present state.
-  Instant confirmed_at_ = MonotonicClock::now();
+  core::direct::ControlFreshness freshness_;
 };
 
 ControlFollower::ControlFollower(std::shared_ptr<Impl> impl)
@@ -243,8 +264,10 @@
     StoreClient& store,
     Duration poll,
     uint16_t peer_port,
+    Duration bound,
     ControlFollowerHooks hooks) {
-  auto impl = std::make_shared<Impl>(context, peer_port, std::move(hooks));
+  auto impl =
+      std::make_shared<Impl>(context, peer_port, bound, std::move(hooks));
   impl->StartFollowing(store, poll);
   return std::unique_ptr<ControlFollower>(new ControlFollower(std::move(impl)));
 }
@@ -263,8 +286,8 @@
   return impl_->current();
 }
 
-Duration ControlFollower::Age() const {
-  return impl_->Age();
+const core::direct::ControlFreshness& ControlFollower::freshness() const {
+  return impl_->freshness();
 }
 
 }  // namespace filbertwick::platform
--- a/filbertwick/platform/control_follower.h
+++ b/filbertwick/platform/control_follower.h
@@ -8,6 +8,7 @@
 
 #include "filbertwick/base/log_line.h"
 #include "filbertwick/base/time.h"
+#include "filbertwick/core/direct/control_freshness.h"
 #include "filbertwick/core/direct/control_stream_state.h"
 #include "filbertwick/http/message.h"
 #include "filbertwick/platform/store_client.h"
@@ -31,13 +32,14 @@
 class ControlFollower {
  public:
   /// Starts to read the stream. A read waits up to `poll` at the store for a
-  /// new record. Other instances serve their snapshots on `peer_port`. `store`
-  /// must outlive the follower.
+  /// new record. Other instances serve their snapshots on `peer_port`. A change
+  /// has to be in force within `bound`. `store` must outlive the follower.
   static std::unique_ptr<ControlFollower> Create(
       boost::asio::io_context& context,
       StoreClient& store,
       Duration poll,
       uint16_t peer_port,
+      Duration bound,
       ControlFollowerHooks hooks);
   ~ControlFollower();
 
@@ -50,8 +52,8 @@
   http::Response SnapshotResponse() const;
   /// The newest known state of the control stream.
   const core::direct::ControlStreamState& current() const;
-  /// Returns the time since that state was last confirmed to be the newest.
-  Duration Age() const;
+  /// How recently that state was known to be the newest.
+  const core::direct::ControlFreshness& freshness() const;
 
  private:
   class Impl;
--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -299,7 +299,10 @@
             .Add("configuration",
                  static_cast<int64_t>(
                      peer_service_->control().position().version))
-            .Add("configuration_age_us", peer_service_->ControlAge().count()));
+            .Add("configuration_age_us", peer_service_->control_freshness()
+                                             .Age(MonotonicClock::now())
+                                             .value_or(Duration(-1))
+                                             .count()));
   }
 
   /// Returns the response, or nullopt when it is sent later.
@@ -313,7 +316,11 @@
     const Route* route = control.configuration().FindRoute(
         NormalizeHost(request), PathOf(request));
     if (route == nullptr) {
-      return ErrorResponse(404, "no_such_route");
+      // The route may have been added since.
+      return peer_service_->control_freshness().IsConfirmed(
+                 MonotonicClock::now())
+                 ? ErrorResponse(404, "no_such_route")
+                 : RetryResponse("configuration_unconfirmed", kShortRetryAfter);
     }
     const std::string_view id =
         PathOf(request).substr(route->path_prefix.size());
--- a/filbertwick/platform/peer_service.cc
+++ b/filbertwick/platform/peer_service.cc
@@ -31,6 +31,8 @@
 /// Longest wait of a read of the instances. New instances also announce
 /// themselves to the others directly.
 constexpr Duration kInstancesPollWait = std::chrono::seconds(10);
+/// Longest usual time from a read at the store until its response is handled.
+constexpr Duration kReadDelay = std::chrono::milliseconds(100);
 constexpr Duration kRegisterRetryDelay = std::chrono::milliseconds(500);
 /// Port for collectors of metrics. deploy/system.toml names the same port.
 constexpr uint16_t kMetricsPort = 9464;
@@ -57,6 +59,7 @@
     control_ = ControlFollower::Create(
         context_.io, *store_,
         self_.is_entry ? kEntryPollWait : kSidecarPollWait, settings.peer_port,
+        settings.configuration_bound - kReadDelay,
         {[this] { OnControlChanged(); }, context_.log});
     if (absl::Status status = StartNetwork(settings); !status.ok()) {
       return status;
@@ -81,7 +84,9 @@
   const core::direct::ControlStreamState& control() const {
     return control_->current();
   }
-  Duration ControlAge() const { return control_->Age(); }
+  const core::direct::ControlFreshness& control_freshness() const {
+    return control_->freshness();
+  }
 
  private:
   absl::Status Listen(const PlatformSettings& settings) {
@@ -243,8 +248,8 @@
 const core::direct::ControlStreamState& PeerService::control() const {
   return impl_->control();
 }
-Duration PeerService::ControlAge() const {
-  return impl_->ControlAge();
+const core::direct::ControlFreshness& PeerService::control_freshness() const {
+  return impl_->control_freshness();
 }
 
 }  // namespace filbertwick::platform
--- a/filbertwick/platform/peer_service.h
+++ b/filbertwick/platform/peer_service.h
@@ -51,8 +51,8 @@
   StoreClient& store();
   /// The newest known state of the control stream.
   const core::direct::ControlStreamState& control() const;
-  /// Returns the time since that state was last confirmed to be the newest.
-  Duration ControlAge() const;
+  /// How recently that state was known to be the newest.
+  const core::direct::ControlFreshness& control_freshness() const;
 
  private:
   class Impl;
--- a/filbertwick/platform/platform_settings.h
+++ b/filbertwick/platform/platform_settings.h
@@ -56,6 +56,9 @@
   /// Time after which a caller whose connection broke submits its job again
   /// (`bounds`.`resend-ms`).
   Duration resend_after = std::chrono::milliseconds(1300);
+  /// Time within which a published configuration has to be in force
+  /// (`bounds`.`config-apply-ms`).
+  Duration configuration_bound = std::chrono::milliseconds(2000);
   /// Longest lease that an upstream grants (`bounds`.`hold-max-ms`).
   Duration max_lease = std::chrono::milliseconds(1000);
   /// Time between SIGTERM and SIGKILL (`bounds`.`grace-s`).
--- a/unit_tests/control_follower_test.cc
+++ b/unit_tests/control_follower_test.cc
@@ -38,6 +38,7 @@
       client_ = StoreClient::Create(loop_.context(), {"127.0.0.1", store_port});
       follower_ = ControlFollower::Create(
           loop_.context(), *client_, std::chrono::milliseconds(200), peer_port,
+          std::chrono::seconds(2),
           {[this] { CheckPredicate(); }, [](const LogLine&) {}});
     });
   }
--- a/unit_tests/direct_policy_test.cc
+++ b/unit_tests/direct_policy_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "filbertwick/core/direct/control_freshness.h"
 #include "filbertwick/core/policy/resend_timer.h"
 #include "filbertwick/core/policy/retry_after_estimator.h"
 #include "filbertwick/core/policy/task_placement.h"
@@ -14,6 +15,7 @@
 
 using filbertwick::Duration;
 using filbertwick::Instant;
+using filbertwick::core::direct::ControlFreshness;
 using filbertwick::core::policy::PlacementCandidate;
 using filbertwick::core::policy::PlacementTask;
 using filbertwick::core::policy::PlaceTasks;
@@ -234,3 +236,15 @@
   requests.Answered(At(1000));
   cr_assert(requests.Oldest() == Instant::max());
 }
+
+Test(control_freshness, a_copy_of_a_copy_is_no_fresher_than_the_first) {
+  ControlFreshness first(std::chrono::milliseconds(2000));
+  cr_assert_not(first.IsConfirmed(At(0)));
+  first.Confirm(At(1000));
+  cr_assert(first.IsConfirmed(At(2999)));
+  cr_assert_not(first.IsConfirmed(At(3000)));
+  // Fetched at 2500 from an instance that was last confirmed at 1000.
+  ControlFreshness second(std::chrono::milliseconds(2000));
+  second.Confirm(At(2500) - *first.Age(At(2500)));
+  cr_assert_not(second.IsConfirmed(At(3000)));
+}
