--- a/filbertwick/core/direct/direct_sidecar_impl.h
+++ b/filbertwick/core/direct/direct_sidecar_impl.h
@@ -143,7 +143,10 @@
   bool IsRestoreUnproved() const { return restore_deadline_ != Instant::max(); }
   /// Releases all runs and reports them as lost; call only when the upstream
   /// certainly runs none of them any more.
-  void DropAllRuns(Instant now);
+  void DropAllRuns(Instant now, std::string_view cause);
+  /// Moves all runs out of the run table and logs which tasks are lost, and
+  /// why.
+  void TakeLostRuns(std::string_view cause);
   /// Reports the runs in `unreported_lost_runs_` to their entries as lost.
   void ReportLostRuns(Instant now);
   void BeginSync(Instant now);
--- a/filbertwick/core/direct/direct_sidecar_upstream.cc
+++ b/filbertwick/core/direct/direct_sidecar_upstream.cc
@@ -16,6 +16,8 @@
 constexpr Duration kSyncListingInterval = std::chrono::milliseconds(20);
 /// How long listings stay short after one that was not answered.
 constexpr Duration kShortListingPeriod = std::chrono::seconds(1);
+/// Most tasks that one log line names; bounds the line.
+constexpr size_t kMaxLoggedTasks = 64;
 /// Time within which a restored upstream must answer; longer than the interval
 /// at which a live one announces itself.
 constexpr Duration kRestoreTimeout = std::chrono::seconds(2);
@@ -111,8 +113,7 @@
 void DirectSidecar::Impl::BeginIncarnation(
     Instant now,
     const UpstreamAnnouncement& announcement) {
-  std::ranges::move(run_table_.Clear(),
-                    std::back_inserter(unreported_lost_runs_));
+  TakeLostRuns("restarted");
   // An incarnation with the same id accepts delayed commands that were meant
   // for the earlier one, until it sees a higher token. They may start any of
   // the lost runs again, so the losses are reported only after the sync.
@@ -155,7 +156,7 @@
     return;
   }
   effects_.push_back(LogLine("upstream_left").Add("upstream", id));
-  DropAllRuns(now);
+  DropAllRuns(now, "left");
   state_ = UpstreamState::kNoUpstream;
   upstream_->draining = true;
   restore_deadline_ = Instant::max();
@@ -165,9 +166,25 @@
   NotifyAllEntries();
 }
 
-void DirectSidecar::Impl::DropAllRuns(Instant now) {
-  std::ranges::move(run_table_.Clear(),
-                    std::back_inserter(unreported_lost_runs_));
+void DirectSidecar::Impl::TakeLostRuns(std::string_view cause) {
+  std::vector<ActiveRun> lost = run_table_.Clear();
+  if (lost.empty()) {
+    return;
+  }
+  std::string tasks;
+  for (const ActiveRun& run : lost | std::views::take(kMaxLoggedTasks)) {
+    tasks += (tasks.empty() ? "" : " ") + run.id.task;
+  }
+  effects_.push_back(LogLine("upstream_runs_lost")
+                         .Add("upstream", upstream_->id)
+                         .Add("cause", cause)
+                         .Add("runs", static_cast<int64_t>(lost.size()))
+                         .Add("tasks", tasks));
+  std::ranges::move(lost, std::back_inserter(unreported_lost_runs_));
+}
+
+void DirectSidecar::Impl::DropAllRuns(Instant now, std::string_view cause) {
+  TakeLostRuns(cause);
   ReportLostRuns(now);
 }
 
@@ -298,7 +315,7 @@
   run->pending_command = 0;
   if (result == CommandResult::kOtherIncarnation) {
     effects_.push_back(LogLine("upstream_replaced"));
-    DropAllRuns(now);
+    DropAllRuns(now, "replaced");
     BeginSync(now);
     return;
   }
@@ -558,7 +575,7 @@
     return;
   }
   if (result == CommandResult::kOtherIncarnation) {
-    DropAllRuns(now);
+    DropAllRuns(now, "replaced");
   }
   if (!listings_failing_since_) {
     listings_failing_since_ = requested_at;
@@ -632,7 +649,7 @@
     // No run is left; with a higher token the upstream rejects delayed
     // commands.
     ++fencing_token_;
-    DropAllRuns(now);
+    DropAllRuns(now, "lease_expired");
     BeginSync(now);
   }
 }
