--- a/filbertwick/harness/direct_cluster.cc
+++ b/filbertwick/harness/direct_cluster.cc
@@ -112,6 +112,7 @@
   sidecar.upstream = std::make_unique<DirectUpstream>(++last_upstream_start_,
                                                       loop_.now(), clock_rate);
   sidecar.announcements = 0;
+  sidecar.upstream_crashed = false;
   if (!id.empty()) {
     sidecar.upstream_id = std::move(id);
   }
@@ -121,6 +122,12 @@
   });
 }
 
+void DirectCluster::CrashUpstream(uint32_t n) {
+  // A fresh upstream has no runs; commands do not reach it.
+  StartUpstream(n, "", 1);
+  sidecars_[n].upstream_crashed = true;
+}
+
 void DirectCluster::Announce(uint32_t n) {
   Sidecar& sidecar = sidecars_[n];
   direct::UpstreamAnnouncement announcement;
@@ -355,6 +362,10 @@
                             const Command& command,
                             const CommandOrigin& origin,
                             Duration wait_end) {
+  if (sidecars_[n].upstream_crashed) {
+    Reply(n, origin, command, direct::CommandResult::kUnknown, {});
+    return;
+  }
   if (command.header.upstream != sidecars_[n].upstream_id) {
     Reply(n, origin, command, direct::CommandResult::kOtherIncarnation, {});
     return;
--- a/filbertwick/harness/direct_cluster.h
+++ b/filbertwick/harness/direct_cluster.h
@@ -91,6 +91,9 @@
   /// the id `id`; an empty one keeps the present id. `clock_rate` is the speed
   /// of its clock.
   void StartUpstream(uint32_t n, std::string id, double clock_rate);
+  /// Ends the upstream beside a sidecar with all its runs. Until another one is
+  /// started, commands to it fail.
+  void CrashUpstream(uint32_t n);
   /// Sends an announcement of the upstream to its sidecar.
   void Announce(uint32_t n);
   /// Gives the recorded upstream, if any, to incarnation `incarnation` of the
@@ -113,6 +116,7 @@
                    std::function<void()> restart);
 
   DirectUpstream& upstream(uint32_t n) { return *sidecars_[n].upstream; }
+  bool HasCrashed(uint32_t n) const { return sidecars_[n].upstream_crashed; }
   bool HasRecordedUpstream(uint32_t n) const {
     return sidecars_[n].recorded.has_value();
   }
@@ -144,6 +148,7 @@
     /// Id that the upstream announces.
     std::string upstream_id;
     uint64_t announcements = 0;
+    bool upstream_crashed = false;
     /// The recorded upstream; kept when the sidecar restarts.
     std::optional<core::direct::UpstreamAnnouncement> recorded;
   };
--- a/filbertwick/harness/load_replay.cc
+++ b/filbertwick/harness/load_replay.cc
@@ -91,6 +91,8 @@
     Duration target{0};
     /// Real run times of its tasks.
     std::vector<Duration> run_times;
+    /// Its first task crashes upstreams.
+    bool crashes_upstreams = false;
   };
 
   static DirectClusterSettings ClusterSettings(const LoadPattern& pattern) {
@@ -174,9 +176,38 @@
       plan.length = kHangTime;
       plan.max_percent = 0;
     }
+    if (CrashesUpstreams(task)) {
+      const int64_t started = cluster_.upstream(n).started_unix_millis();
+      loop_.After(plan.length / 2, [this, n, started, task] {
+        if (cluster_.upstream(n).started_unix_millis() == started) {
+          Crash(n);
+        }
+      });
+    }
     return plan;
   }
 
+  bool CrashesUpstreams(const std::string& task) const {
+    const auto it = jobs_.find(std::stoull(task));
+    return it != jobs_.end() && it->second.crashes_upstreams &&
+           task.ends_with(".0");
+  }
+
+  void Crash(uint32_t n) {
+    cluster_.upstream(n).Advance(loop_.now());
+    ++result_.crashes;
+    for (const direct::TaskRun& run : cluster_.upstream(n).Running()) {
+      result_.max_crashes_of_task =
+          std::max(result_.max_crashes_of_task, ++crashes_[run.task]);
+    }
+    cluster_.CrashUpstream(n);
+    loop_.After(kCrashDowntime, [this, n] {
+      cluster_.StartUpstream(n, fmt::format("upstream-{}-{}", n, ++restarts_),
+                             1);
+      cluster_.Announce(n);
+    });
+  }
+
   /// The name of a task is JOB.STEP.INDEX, and that of a job its request.
   Duration RunTimeOf(const std::string& task) const {
     const auto it = jobs_.find(std::stoull(task));
@@ -242,7 +273,7 @@
   }
 
   void AnnounceRegularly(uint32_t n) {
-    if (!IsLost(n)) {
+    if (!IsLost(n) && !cluster_.HasCrashed(n)) {
       cluster_.Announce(n);
     }
     loop_.After(kAnnouncementInterval, [this, n] { AnnounceRegularly(n); });
@@ -272,6 +303,9 @@
     for (uint32_t n = 0; n < spec.tasks; ++n) {
       job.run_times.push_back(Vary(spec.run_time));
     }
+    const LoadEvent* crashing = Active(LoadEvent::Type::kCrashingTasks);
+    job.crashes_upstreams =
+        crashing != nullptr && kind == 0 && random_.Chance(crashing->factor);
     const Duration longest = *std::ranges::max_element(job.run_times);
     job.target = pattern_.target_latency + Scale(longest, pattern_.stretch);
     direct::JobRequest request;
@@ -387,7 +421,9 @@
       result_.violations +=
           used_here > pattern_.cpu_millis_per_upstream ? 1 : 0;
       used += used_here;
-      present += IsLost(n) ? 0 : pattern_.cpu_millis_per_upstream;
+      present += IsLost(n) || cluster_.HasCrashed(n)
+                     ? 0
+                     : pattern_.cpu_millis_per_upstream;
     }
     result_.used_cpu_millis.push_back(used);
     result_.present_cpu_millis.push_back(present);
@@ -409,6 +445,9 @@
   std::vector<Duration> outbound_free_at_;
   std::vector<Duration> inbound_free_at_;
   uint64_t last_request_ = 0;
+  /// Upstreams that have crashed under each task.
+  std::map<std::string, uint32_t> crashes_;
+  uint64_t restarts_ = 0;
   LoadResult result_;
   DirectCluster cluster_;
 };
@@ -453,6 +492,7 @@
       {{Type::kLateCommands, kAt, kLength, 0.05},
        {Type::kHanging, kAt, kLength, 1, 2}});
   add("leaving-callers", 1.1, {{Type::kLeavingCallers, kAt, kLength, 0.4}});
+  add("crashing-tasks", 1, {{Type::kCrashingTasks, kAt, kLength, 0.1}});
   add("power-loss", 1, {{Type::kPowerLoss, 2 * kAt, 500 * kMilli, 0}});
   return loads;
 }
--- a/filbertwick/harness/load_replay.h
+++ b/filbertwick/harness/load_replay.h
@@ -51,6 +51,9 @@
     /// The links of the entries carry the share `factor` of
     /// LoadPattern::entry_link_bytes_per_second.
     kNarrowLinks,
+    /// The share `factor` of the jobs of the first kind has a task that crashes
+    /// each upstream that starts it. The upstream is back after kCrashDowntime.
+    kCrashingTasks,
   };
 
   Type type = Type::kBurst;
@@ -110,11 +113,17 @@
   /// Tasks that had two runs at a time, and upstreams over their capacity;
   /// always 0 unless a guarantee is broken.
   uint32_t violations = 0;
+  /// Most upstreams that have crashed under one task.
+  uint32_t max_crashes_of_task = 0;
+  /// Crashes of upstreams.
+  uint32_t crashes = 0;
 
   double Worth() const { return total.worth_earned / total.worth_asked; }
 };
 
 inline constexpr Duration kSampleInterval = std::chrono::milliseconds(20);
+/// See LoadEvent::Type::kCrashingTasks.
+inline constexpr Duration kCrashDowntime = std::chrono::milliseconds(3200);
 
 /// Runs a load through the real entry and sidecar cores in virtual time.
 /// Deterministic: equal patterns give equal results.
--- a/unit_tests/direct_sidecar_test.cc
+++ b/unit_tests/direct_sidecar_test.cc
@@ -53,6 +53,20 @@
     Collect();
   }
 
+  /// Announces another capacity of the same upstream.
+  void AnnounceCapacity(int64_t cpu_millis) {
+    UpstreamAnnouncement announcement;
+    announcement.id = "up-1";
+    announcement.started_unix_millis = 5;
+    announcement.sequence = ++last_announcement;
+    announcement.profile.service = "service";
+    announcement.profile.zone = ZoneName("zone");
+    announcement.profile.capacity = {cpu_millis, 1000, 0};
+    announcement.clock = 1000;
+    sidecar->OnUpstreamAnnounced(now, announcement, ClearedEffects());
+    Collect();
+  }
+
   /// Collects commands to the upstream and messages to the entry.
   void Collect() {
     for (const SidecarEffect& effect : effects) {
@@ -153,6 +167,7 @@
   std::optional<UpstreamAnnouncement> recorded;
   size_t accepted = 0;
   uint64_t last_offer = 0;
+  uint64_t last_announcement = 1;
 };
 
 /// The refusals of an offer with one task.
@@ -533,3 +548,19 @@
   it.Collect();
   cr_assert_eq(it.ends.size(), 3);
 }
+
+Test(direct_sidecar, starts_nothing_beyond_a_capacity_that_has_shrunk) {
+  Fixture it;
+  cr_assert(it.Offer({"a", "b"}) == std::vector<Refusal>(2, Refusal::kNone));
+  it.AcceptStarts();
+  it.AnnounceCapacity(2 * kTaskCpu);
+  cr_assert(it.Offer({"c"}) == OneRefusal(Refusal::kNoCapacity));
+  it.AnnounceCapacity(kTaskCpu);
+  Listing listing;
+  listing.running.push_back({{"b", 1}, 50});
+  listing.ended.push_back({1, {"a", 1}, EndKind::kDone});
+  it.AnswerListings(listing);
+  cr_assert(it.Offer({"c"}) == OneRefusal(Refusal::kNoCapacity));
+  it.AnnounceCapacity(2 * kTaskCpu);
+  cr_assert(it.Offer({"c"}) == OneRefusal(Refusal::kNone));
+}
--- a/unit_tests/load_replay_test.cc
+++ b/unit_tests/load_replay_test.cc
@@ -150,3 +150,34 @@
                   seed, in_time, calm);
   }
 }
+
+// A tenth of the jobs of one kind crash each upstream that starts them.
+LoadPattern CrashingTasksLoad(uint64_t seed) {
+  LoadPattern pattern = TicketSalesLoad(1);
+  pattern.events = {{Type::kCrashingTasks, 2 * kSecond, 6 * kSecond, 0.1}};
+  pattern.seed = seed;
+  return pattern;
+}
+
+Test(load_replay, starts_no_task_after_three_upstreams_have_crashed_under_it) {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const LoadResult result = ReplayLoad(CrashingTasksLoad(seed));
+    cr_assert_eq(result.violations, 0);
+    cr_expect_leq(result.max_crashes_of_task, 3, "seed %lu: %u crashes", seed,
+                  result.max_crashes_of_task);
+  }
+}
+
+// Three quarters of the upstreams are for the jobs of the other kinds, once it
+// is known which jobs crash them.
+Test(load_replay, serves_the_jobs_of_other_kinds_while_tasks_crash_upstreams) {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const LoadResult result = ReplayLoad(CrashingTasksLoad(seed));
+    for (size_t kind = 1; kind < result.kinds.size(); ++kind) {
+      const LoadFigures& figures = result.kinds[kind];
+      cr_expect_geq(figures.in_time, figures.asked * 3 / 4,
+                    "seed %lu, kind %lu: %u of %u in time", seed, kind,
+                    figures.in_time, figures.asked);
+    }
+  }
+}
