Close an upstream at once when it refuses connections

An upstream that had crashed was offered tasks for another 0.3 s, and its runs counted as lost 0.76 s after the crash: any failed listing was taken for silence, although a refused connection shows within milliseconds that no process accepts commands. Runs still wait for the end of their lease, since connections may also be refused on the way while the upstream works on.

A start that reached nothing closes the upstream until a listing is answered, so that an idle upstream that is gone does not draw all tasks.

direct_sidecar takes_no_tasks_for_an_upstream_that_refuses_connections and looks_for_its_upstream_when_a_start_is_not_accepted; the results they use are new, so they can't be run on the code before.

--- a/filbertwick/core/direct/direct_sidecar_impl.h
+++ b/filbertwick/core/direct/direct_sidecar_impl.h
@@ -185,6 +185,8 @@
   void CheckCommandTimeouts(Instant now);
   void CheckListingTimeouts(Instant now);
   void CheckLease(Instant now);
+  /// Returns true when no process accepts connections in place of the upstream.
+  bool IsUpstreamGone() const;
   /// Returns true when a run that must be stopped has not ended within
   /// SessionTimes::stop_confirm_timeout.
   bool HasOverdueStop(Instant now) const;
@@ -215,6 +217,9 @@
   /// Send time of the first listing of the present series of failures; unset
   /// while listings are answered.
   std::optional<Instant> listings_failing_since_;
+  /// Listings in a row that no process accepted. Once the upstream is gone,
+  /// only an answered listing resets them.
+  uint32_t unreached_listings_ = 0;
   /// Listings are short until then, because one was not answered.
   Instant short_listings_until_;
   /// No run continues beyond this time under the leases granted so far.
--- a/filbertwick/core/direct/direct_sidecar_upstream.cc
+++ b/filbertwick/core/direct/direct_sidecar_upstream.cc
@@ -16,6 +16,9 @@
 constexpr Duration kSyncListingInterval = std::chrono::milliseconds(20);
 /// How long listings stay short after one that was not answered.
 constexpr Duration kShortListingPeriod = std::chrono::seconds(1);
+/// Unaccepted connections in a row after which the upstream is gone; a single
+/// one may be an accident of the network.
+constexpr uint32_t kUnreachedListingsOfGoneUpstream = 2;
 /// Most tasks that one log line names; bounds the line.
 constexpr size_t kMaxLoggedTasks = 64;
 /// Time within which a restored upstream must answer; longer than the interval
@@ -200,6 +203,7 @@
 void DirectSidecar::Impl::BeginSync(Instant now) {
   state_ = UpstreamState::kSyncing;
   listings_failing_since_.reset();
+  unreached_listings_ = 0;
   next_listing_ = now;
   listings_.clear();
   NotifyAllEntries();
@@ -355,8 +359,13 @@
     // An earlier command may have started the run, which may even have ended.
     // Listings after a confirmed stop tell.
     BeginStop(now, run);
-  } else {
-    EndRun(now, run.id, EndKind::kNotStarted);
+    return;
+  }
+  EndRun(now, run.id, EndKind::kNotStarted);
+  if (result == CommandResult::kNotReached && run_table_.runs().empty() &&
+      state_ == UpstreamState::kReady) {
+    // Closed until a listing is answered: other tasks would not start either.
+    BeginSync(now);
   }
 }
 
@@ -405,6 +414,7 @@
   const Instant requested_at = it->second.sent_at;
   listings_.erase(it);
   listings_failing_since_.reset();
+  unreached_listings_ = 0;
   if (listing.started_unix_millis != 0 &&
       listing.started_unix_millis != upstream_->started_unix_millis) {
     // The upstream has restarted under the same id: the earlier runs are gone.
@@ -584,6 +594,18 @@
     short_listings_until_ = now + kShortListingPeriod;
   }
   next_listing_ = now + settings_.retry_delay;
+  if (result == CommandResult::kNotReached) {
+    ++unreached_listings_;
+  } else if (!IsUpstreamGone()) {
+    unreached_listings_ = 0;
+  }
+  if (IsUpstreamGone()) {
+    CheckLease(now);
+  }
+}
+
+bool DirectSidecar::Impl::IsUpstreamGone() const {
+  return unreached_listings_ >= kUnreachedListingsOfGoneUpstream;
 }
 
 void DirectSidecar::Impl::CheckCommandTimeouts(Instant now) {
@@ -632,12 +654,14 @@
 void DirectSidecar::Impl::CheckLease(Instant now) {
   const bool overdue_stop = HasOverdueStop(now);
   const bool listings_failing =
-      listings_failing_since_ &&
-      now - *listings_failing_since_ > settings_.times.lease * 3 / 4;
+      IsUpstreamGone() ||
+      (listings_failing_since_ &&
+       now - *listings_failing_since_ > settings_.times.lease * 3 / 4);
   if (state_ == UpstreamState::kReady && !run_table_.runs().empty() &&
       (overdue_stop || listings_failing)) {
-    BeginLeaseExpiry(now,
-                     overdue_stop ? "stop_unconfirmed" : "upstream_silent");
+    BeginLeaseExpiry(now, overdue_stop       ? "stop_unconfirmed"
+                          : IsUpstreamGone() ? "upstream_gone"
+                                             : "upstream_silent");
   }
   if (state_ != UpstreamState::kLeaseExpiring) {
     return;
--- a/filbertwick/core/direct/names.cc
+++ b/filbertwick/core/direct/names.cc
@@ -60,6 +60,8 @@
       return "refused";
     case CommandResult::kOtherIncarnation:
       return "other_life";
+    case CommandResult::kNotReached:
+      return "not_reached";
     case CommandResult::kUnknown:
       break;
   }
--- a/filbertwick/core/direct/sidecar_effect.h
+++ b/filbertwick/core/direct/sidecar_effect.h
@@ -99,6 +99,9 @@
   kRefused,
   /// Rejected: the running upstream has another id than the command names.
   kOtherIncarnation,
+  /// No process accepts connections at the upstream's address; the command was
+  /// not carried out.
+  kNotReached,
   /// No answer; the command may still be carried out later.
   kUnknown,
 };
--- a/filbertwick/harness/direct_cluster.cc
+++ b/filbertwick/harness/direct_cluster.cc
@@ -363,7 +363,7 @@
                             const CommandOrigin& origin,
                             Duration wait_end) {
   if (sidecars_[n].upstream_crashed) {
-    Reply(n, origin, command, direct::CommandResult::kUnknown, {});
+    Reply(n, origin, command, direct::CommandResult::kNotReached, {});
     return;
   }
   if (command.header.upstream != sidecars_[n].upstream_id) {
--- a/filbertwick/http/client.cc
+++ b/filbertwick/http/client.cc
@@ -244,6 +244,7 @@
     return;
   }
   if (ec) {
+    progress_ = CallProgress::kNotConnected;
     CloseAndFailCall("can't connect", ec);
     return;
   }
--- a/filbertwick/http/client.h
+++ b/filbertwick/http/client.h
@@ -33,6 +33,9 @@
 
 /// Whether the request of a failed call may have reached the server.
 enum class CallProgress {
+  /// No connection could be opened: the server's machine refused it, or can't
+  /// be reached.
+  kNotConnected,
   /// No byte of the request was sent, so the server has not acted on it.
   kNotSent,
   /// At least one byte was sent; the server may have acted on the request.
--- a/filbertwick/platform/sidecar_node.cc
+++ b/filbertwick/platform/sidecar_node.cc
@@ -157,12 +157,22 @@
     record_->Save(effect.upstream);
   }
 
+  /// Returns the upstream's answer, or why there is none.
+  static ParsedAnswer ToAnswer(const http::CallResult& result) {
+    if (result.response.ok()) {
+      return ParseAnswer(*result.response);
+    }
+    ParsedAnswer none;
+    if (result.progress == http::CallProgress::kNotConnected) {
+      none.answer = CommandResult::kNotReached;
+    }
+    return none;
+  }
+
   void CallUpstream(http::Request request, uint64_t number) {
     upstream_->Call(std::move(request), kCallTimeoutMargin,
                     [this, number](const http::CallResult& result) {
-                      const ParsedAnswer parsed =
-                          result.response.ok() ? ParseAnswer(*result.response)
-                                               : ParsedAnswer();
+                      const ParsedAnswer parsed = ToAnswer(result);
                       runner_.Run([&](Instant now, SidecarEffects& out) {
                         core().OnCommandResult(now, number, parsed.answer,
                                                parsed.clock, out);
@@ -181,9 +191,7 @@
       }
       context_.log(LogLine("listing_unreadable").AddCause(parsed.status()));
     }
-    const CommandResult answer = result.response.ok()
-                                     ? ParseAnswer(*result.response).answer
-                                     : CommandResult::kUnknown;
+    const CommandResult answer = ToAnswer(result).answer;
     runner_.Run([&](Instant now, SidecarEffects& out) {
       core().OnListingFailed(now, number, answer, out);
     });
--- a/unit_tests/direct_sidecar_test.cc
+++ b/unit_tests/direct_sidecar_test.cc
@@ -112,6 +112,14 @@
     }
   }
 
+  void FailListings(CommandResult result) {
+    for (const ListCommand& command : std::exchange(lists, {})) {
+      sidecar->OnListingFailed(now, command.header.number, result,
+                               ClearedEffects());
+      Collect();
+    }
+  }
+
   void AcceptStarts() {
     for (size_t n = accepted; n < starts.size(); ++n) {
       sidecar->OnCommandResult(now, starts[n].header.number,
@@ -564,3 +572,38 @@
   it.AnnounceCapacity(2 * kTaskCpu);
   cr_assert(it.Offer({"c"}) == OneRefusal(Refusal::kNone));
 }
+
+// A crash of the upstream shows by refused connections within some tens of
+// milliseconds. Tasks that are sent there until its silence has lasted for long
+// are lost with the others.
+Test(direct_sidecar, takes_no_tasks_for_an_upstream_that_refuses_connections) {
+  Fixture it;
+  it.Offer({"a"});
+  it.AcceptStarts();
+  it.FailListings(CommandResult::kUnknown);
+  for (int n = 0; n < 5; ++n) {
+    it.AdvanceTime(10 * kMilli);
+    it.FailListings(CommandResult::kNotReached);
+  }
+  cr_assert(it.Offer({"b"}) == OneRefusal(Refusal::kNotAccepting));
+  // The lease may be all that ends a run when connections are refused on the
+  // way.
+  cr_assert(it.ends.empty());
+  for (int n = 0; n < 50; ++n) {
+    it.AdvanceTime(10 * kMilli);
+  }
+  cr_assert_eq(it.ends.front().kind, EndKind::kLost);
+}
+
+Test(direct_sidecar, looks_for_its_upstream_when_a_start_is_not_accepted) {
+  Fixture it;
+  it.Offer({"a"});
+  it.sidecar->OnCommandResult(it.now, it.starts.back().header.number,
+                              CommandResult::kNotReached, 0,
+                              it.ClearedEffects());
+  it.Collect();
+  cr_assert_eq(it.ends.back().kind, EndKind::kNotStarted);
+  cr_assert(it.Offer({"b"}) == OneRefusal(Refusal::kNotAccepting));
+  it.AnswerListings({});
+  cr_assert(it.Offer({"c"}) == OneRefusal(Refusal::kNone));
+}
--- a/unit_tests/http_client_test.cc
+++ b/unit_tests/http_client_test.cc
@@ -75,7 +75,7 @@
   ClientSettings settings;
 };
 
-Test(http_client, refused_connection_counts_as_not_sent) {
+Test(http_client, refused_connection_counts_as_not_connected) {
   ClientSettings settings;
   {
     RawServer closed;
@@ -84,7 +84,7 @@
   TestClient client(settings);
   const CallResult result = client.Call({}, kTestTimeout).get();
   cr_assert(absl::IsUnavailable(result.response.status()));
-  cr_assert(result.progress == CallProgress::kNotSent);
+  cr_assert(result.progress == CallProgress::kNotConnected);
 }
 
 Test(http_client, invalid_host_and_malformed_target_fail) {
