Give up a task under which upstreams have crashed

The sidecar now reports the runs of an upstream that refuses connections, or was replaced without having drained, as crashed, and whether the run was alone there; other losses stay as they were. CrashBudget gives a task up after three crashes, or after two when it was alone at the second. The caller gets its answer, failed, at once. Instances of different releases ignore each other's datagrams, as the encoding changes.

--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -409,6 +409,14 @@
     Answer(now, job, JobOutcome::kFailed, "attempts_used");
     return;
   }
+  if (end.kind == EndKind::kCrashed) {
+    task.crashes.OnCrash(end.was_alone);
+    if (task.crashes.IsExhausted()) {
+      task.phase = TaskPhase::kDone;
+      Answer(now, job, JobOutcome::kFailed, "upstreams_crashed");
+      return;
+    }
+  }
   MakeReady(job, task);
 }
 
--- a/filbertwick/core/direct/direct_job_table.h
+++ b/filbertwick/core/direct/direct_job_table.h
@@ -11,6 +11,7 @@
 #include "filbertwick/base/time.h"
 #include "filbertwick/core/direct/entry_effect.h"
 #include "filbertwick/core/direct/job_history.h"
+#include "filbertwick/core/policy/crash_budget.h"
 
 namespace filbertwick::core::direct {
 
@@ -36,6 +37,7 @@
   /// empty before the first run, or when there is no reason to avoid it.
   InstanceName sidecar;
   uint32_t failures = 0;
+  policy::CrashBudget crashes;
 };
 
 /// A job between its arrival and its answer.
--- a/filbertwick/core/direct/direct_sidecar_impl.h
+++ b/filbertwick/core/direct/direct_sidecar_impl.h
@@ -59,6 +59,14 @@
   bool long_wait = false;
 };
 
+/// A run that was lost with its upstream.
+struct LostRun {
+  ActiveRun run;
+  EndKind kind = EndKind::kLost;
+  /// No other run was at the upstream.
+  bool was_alone = false;
+};
+
 class DirectSidecar::Impl {
  public:
   Impl(Peer self, uint64_t first_token, const DirectSidecarSettings& settings)
@@ -141,12 +149,19 @@
   /// Drops a restored upstream that has not proved to be the recorded process.
   void DropRestoredUpstream(std::string_view cause);
   bool IsRestoreUnproved() const { return restore_deadline_ != Instant::max(); }
-  /// Releases all runs and reports them as lost; call only when the upstream
-  /// certainly runs none of them any more.
-  void DropAllRuns(Instant now, std::string_view cause);
+  /// Releases all runs and reports them as ended with `kind`, kLost or
+  /// kCrashed; call only when the upstream certainly runs none of them any
+  /// more.
+  void DropAllRuns(Instant now, EndKind kind, std::string_view cause);
   /// Moves all runs out of the run table and logs which tasks are lost, and
   /// why.
-  void TakeLostRuns(std::string_view cause);
+  void TakeLostRuns(EndKind kind, std::string_view cause);
+  /// Returns how runs have ended that an upstream leaves behind which has been
+  /// replaced or refuses connections.
+  EndKind KindOfLoss() const {
+    return upstream_ && upstream_->draining ? EndKind::kLost
+                                            : EndKind::kCrashed;
+  }
   /// Reports the runs in `unreported_lost_runs_` to their entries as lost.
   void ReportLostRuns(Instant now);
   void BeginSync(Instant now);
@@ -206,7 +221,7 @@
   /// Lost runs of an earlier incarnation of the upstream that delayed commands
   /// may still start in the present one. They are reported once a listing shows
   /// that the present incarnation runs no task.
-  std::vector<ActiveRun> unreported_lost_runs_;
+  std::vector<LostRun> unreported_lost_runs_;
   SessionTable sessions_;
   ControlPosition control_;
   /// Runs of unanswered start and stop commands, by command number.
--- a/filbertwick/core/direct/direct_sidecar_upstream.cc
+++ b/filbertwick/core/direct/direct_sidecar_upstream.cc
@@ -116,7 +116,7 @@
 void DirectSidecar::Impl::BeginIncarnation(
     Instant now,
     const UpstreamAnnouncement& announcement) {
-  TakeLostRuns("restarted");
+  TakeLostRuns(KindOfLoss(), "restarted");
   // An incarnation with the same id accepts delayed commands that were meant
   // for the earlier one, until it sees a higher token. They may start any of
   // the lost runs again, so the losses are reported only after the sync.
@@ -159,7 +159,7 @@
     return;
   }
   effects_.push_back(LogLine("upstream_left").Add("upstream", id));
-  DropAllRuns(now, "left");
+  DropAllRuns(now, EndKind::kLost, "left");
   state_ = UpstreamState::kNoUpstream;
   upstream_->draining = true;
   restore_deadline_ = Instant::max();
@@ -169,7 +169,7 @@
   NotifyAllEntries();
 }
 
-void DirectSidecar::Impl::TakeLostRuns(std::string_view cause) {
+void DirectSidecar::Impl::TakeLostRuns(EndKind kind, std::string_view cause) {
   std::vector<ActiveRun> lost = run_table_.Clear();
   if (lost.empty()) {
     return;
@@ -181,21 +181,28 @@
   effects_.push_back(LogLine("upstream_runs_lost")
                          .Add("upstream", upstream_->id)
                          .Add("cause", cause)
+                         .Add("kind", ToString(kind))
                          .Add("runs", static_cast<int64_t>(lost.size()))
                          .Add("tasks", tasks));
-  std::ranges::move(lost, std::back_inserter(unreported_lost_runs_));
+  const bool was_alone = lost.size() == 1;
+  for (ActiveRun& run : lost) {
+    unreported_lost_runs_.push_back({std::move(run), kind, was_alone});
+  }
 }
 
-void DirectSidecar::Impl::DropAllRuns(Instant now, std::string_view cause) {
-  TakeLostRuns(cause);
+void DirectSidecar::Impl::DropAllRuns(Instant now,
+                                      EndKind kind,
+                                      std::string_view cause) {
+  TakeLostRuns(kind, cause);
   ReportLostRuns(now);
 }
 
 void DirectSidecar::Impl::ReportLostRuns(Instant now) {
-  for (const ActiveRun& run : std::exchange(unreported_lost_runs_, {})) {
-    if (Session* session = sessions_.Find(run.owner)) {
-      SessionTable::AddEnd(*session, {0, run.id, EndKind::kLost,
-                                      (now - run.start_sent_at).count()});
+  for (const LostRun& lost : std::exchange(unreported_lost_runs_, {})) {
+    if (Session* session = sessions_.Find(lost.run.owner)) {
+      SessionTable::AddEnd(
+          *session, {0, lost.run.id, lost.kind,
+                     (now - lost.run.start_sent_at).count(), lost.was_alone});
     }
   }
 }
@@ -319,7 +326,7 @@
   run->pending_command = 0;
   if (result == CommandResult::kOtherIncarnation) {
     effects_.push_back(LogLine("upstream_replaced"));
-    DropAllRuns(now, "replaced");
+    DropAllRuns(now, KindOfLoss(), "replaced");
     BeginSync(now);
     return;
   }
@@ -585,7 +592,7 @@
     return;
   }
   if (result == CommandResult::kOtherIncarnation) {
-    DropAllRuns(now, "replaced");
+    DropAllRuns(now, KindOfLoss(), "replaced");
   }
   if (!listings_failing_since_) {
     listings_failing_since_ = requested_at;
@@ -673,7 +680,8 @@
     // No run is left; with a higher token the upstream rejects delayed
     // commands.
     ++fencing_token_;
-    DropAllRuns(now, "lease_expired");
+    DropAllRuns(now, IsUpstreamGone() ? KindOfLoss() : EndKind::kLost,
+                "lease_expired");
     BeginSync(now);
   }
 }
--- a/filbertwick/core/direct/message.h
+++ b/filbertwick/core/direct/message.h
@@ -173,6 +173,8 @@
   /// Killed with its upstream or at the end of the lease, or gone from the
   /// upstream's listings without a reported end.
   kLost,
+  /// The upstream crashed while the run was there.
+  kCrashed,
 };
 
 /// The end of a run, numbered within the session.
@@ -182,10 +184,12 @@
   EndKind kind = EndKind::kDone;
   /// Microseconds from the start command until the end was detected.
   int64_t duration_micros = 0;
+  /// For kCrashed: no other run was at the upstream.
+  bool was_alone = false;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(number, run, kind, duration_micros);
+    archive(number, run, kind, duration_micros, was_alone);
   }
 };
 
--- a/filbertwick/core/direct/names.cc
+++ b/filbertwick/core/direct/names.cc
@@ -26,6 +26,8 @@
       return "stopped";
     case EndKind::kNotStarted:
       return "not_started";
+    case EndKind::kCrashed:
+      return "crashed";
     case EndKind::kLost:
       break;
   }
--- a/filbertwick/core/direct/sidecar_view.cc
+++ b/filbertwick/core/direct/sidecar_view.cc
@@ -74,7 +74,7 @@
     }
     return;
   }
-  if (end.kind == EndKind::kLost) {
+  if (end.kind == EndKind::kLost || end.kind == EndKind::kCrashed) {
     // The upstream was gone, and may be another one when it is back. One task
     // shows whether it works.
     view.avoid_until = std::max(view.avoid_until, now);
--- a/unit_tests/direct_entry_test.cc
+++ b/unit_tests/direct_entry_test.cc
@@ -656,3 +656,35 @@
   cr_assert(it.offers.empty());
   cr_assert_eq(it.entry->Status(it.now).usable_sidecars, 0);
 }
+
+// A task that was beside the cause of a crash is run again, also after a second
+// one.
+Test(direct_entry, gives_up_a_task_under_which_three_upstreams_have_crashed) {
+  Fixture it;
+  it.Submit(it.Job("j", 1));
+  for (int crash = 1; crash <= 3; ++crash) {
+    cr_assert(it.answers.empty());
+    const auto runs = it.AcceptOffers();
+    cr_assert_eq(runs.size(), 1);
+    it.EndRun(runs.front().first, runs.front().second, EndKind::kCrashed);
+    it.AdvanceTime(kMilli);
+  }
+  cr_assert(it.offers.empty());
+  cr_assert_eq(it.answers.size(), 1);
+  cr_assert_eq(it.answers.front().outcome, JobOutcome::kFailed);
+  cr_assert_eq(it.answers.front().cause, "upstreams_crashed");
+}
+
+Test(direct_entry, gives_up_a_task_that_crashes_a_second_upstream_alone) {
+  Fixture it;
+  it.Submit(it.Job("j", 1));
+  for (int crash = 1; crash <= 2; ++crash) {
+    cr_assert(it.answers.empty());
+    const auto [n, run] = it.AcceptOffers().front();
+    RunEnd end = {++it.last_end[n], run, EndKind::kCrashed, 50'000};
+    end.was_alone = true;
+    it.SendFromSidecar(n, {}, {end});
+  }
+  cr_assert(it.offers.empty());
+  cr_assert_eq(it.answers.size(), 1);
+}
