Count crashes under a job that is sent again to another entry

A job whose entry had died began at the next one with no crashes counted, so that each death of an entry allowed its task to crash three more upstreams. Every entry is told of every crash with its suspects; a job that arrives now takes over what is recorded under the names of its tasks, and is answered failed at once when one of them must not be started again.

direct_entry knows_the_crashes_under_a_job_that_is_sent_again failed before (the task was offered).

--- a/filbertwick/core/direct/direct_entry.cc
+++ b/filbertwick/core/direct/direct_entry.cc
@@ -49,12 +49,20 @@
       JobTask task;
       task.step = step;
       task.name = name_task_(spec.id, step, index);
+      // The job may have run at another entry before.
+      task.crashes = containment_.BudgetOf(task.name);
       job.tasks.push_back(std::move(task));
     }
   }
   job.spec = std::move(spec);
   DirectJob& added = jobs_.Add(std::move(job));
   deadlines_.emplace(added.deadline, added.number);
+  if (std::ranges::any_of(added.tasks, [](const JobTask& task) {
+        return task.crashes.IsExhausted();
+      })) {
+    Answer(now, added, JobOutcome::kFailed, "upstreams_crashed");
+    return;
+  }
   if (!CanEverFit(now, added)) {
     Refuse(now, added, "no_upstream_fits");
     return;
--- a/filbertwick/core/policy/crash_containment.cc
+++ b/filbertwick/core/policy/crash_containment.cc
@@ -39,6 +39,11 @@
   return !was_confined;
 }
 
+CrashBudget CrashContainment::BudgetOf(std::string_view task) const {
+  const auto it = suspects_.find(task);
+  return it != suspects_.end() ? it->second.budget : CrashBudget();
+}
+
 bool CrashContainment::IsConfined(Instant now, std::string_view queue) const {
   const auto it = confined_until_.find(queue);
   return it != confined_until_.end() && now < it->second;
--- a/filbertwick/core/policy/crash_containment.h
+++ b/filbertwick/core/policy/crash_containment.h
@@ -32,6 +32,8 @@
                std::string_view task,
                std::string_view queue,
                uint32_t suspects);
+  /// Returns the crashes recorded for a task, whichever entry started it.
+  CrashBudget BudgetOf(std::string_view task) const;
   /// Returns true while the tasks of the queue must stay in the zone.
   bool IsConfined(Instant now, std::string_view queue) const;
   /// Returns true while the tasks of any queue must stay in the zone.
--- a/unit_tests/direct_entry_test.cc
+++ b/unit_tests/direct_entry_test.cc
@@ -715,3 +715,18 @@
   cr_assert_eq(it.offers.size(), 3);
   cr_assert_not(zone.contains(it.offers.back().first));
 }
+
+// The first entry has died after its task had crashed two upstreams.
+Test(direct_entry, knows_the_crashes_under_a_job_that_is_sent_again) {
+  Fixture it;
+  SidecarMessage message = it.MessageFrom(0, 2);
+  for (uint64_t number = 1; number <= 2; ++number) {
+    message.crash.number = number;
+    message.crash.suspects = {{"j.0.0", "queue"}};
+    it.Deliver(message);
+  }
+  it.Submit(it.Job("j", 1));
+  cr_assert(it.offers.empty());
+  cr_assert_eq(it.answers.size(), 1);
+  cr_assert_eq(it.answers.front().outcome, JobOutcome::kFailed);
+}
