Tell entries that restart of recent crashes

An entry that restarted during a series of crashes knew neither suspects nor confined queues, and spread the tasks that crash upstreams over all of them until two more had crashed under one task. A sidecar sends the newest crash of its upstream for ten seconds with every message, with its age; an entry records it once.

--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -229,9 +229,10 @@
     return;
   }
   view.last_crash = crash.number;
+  const Instant at = now - Duration(crash.age_micros);
   const auto suspects = static_cast<uint32_t>(crash.suspects.size());
   for (const CrashSuspect& suspect : crash.suspects) {
-    if (containment_.OnCrash(now, suspect.task, suspect.queue, suspects)) {
+    if (containment_.OnCrash(at, suspect.task, suspect.queue, suspects)) {
       effects_.push_back(LogLine("queue_confined")
                              .Add("queue", suspect.queue)
                              .Add("task", suspect.task)
--- a/filbertwick/core/direct/direct_sidecar.cc
+++ b/filbertwick/core/direct/direct_sidecar.cc
@@ -1,6 +1,13 @@
 #include "filbertwick/core/direct/direct_sidecar_impl.h"
 
 namespace filbertwick::core::direct {
+namespace {
+
+/// How long a crash is sent with every message; entries that restart learn of
+/// it as well.
+constexpr Duration kCrashMemory = std::chrono::seconds(10);
+
+}  // namespace
 
 void DirectSidecar::Impl::OnMessage(Instant now, const EntryMessage& message) {
   bool replaced = false;
@@ -247,8 +254,9 @@
     }
     message.replies = std::exchange(session.pending_replies, {});
     message.ends.assign(session.ends.begin(), session.ends.end());
-    if (now < crash_noticed_until_) {
+    if (crash_.number > 0 && now - crash_noticed_at_ < kCrashMemory) {
       message.crash = crash_;
+      message.crash.age_micros = (now - crash_noticed_at_).count();
     }
     effects_.push_back(
         SendToEntryEffect{session.entry.name, std::move(message)});
--- a/filbertwick/core/direct/direct_sidecar_impl.h
+++ b/filbertwick/core/direct/direct_sidecar_impl.h
@@ -234,10 +234,9 @@
   /// Send time of the first listing of the present series of failures; unset
   /// while listings are answered.
   std::optional<Instant> listings_failing_since_;
-  /// The newest crash of an upstream, sent with every message until
-  /// `crash_noticed_until_`.
+  /// The newest crash of an upstream.
   CrashNotice crash_;
-  Instant crash_noticed_until_;
+  Instant crash_noticed_at_;
   /// The crash of the present upstream is in `crash_`.
   bool crash_noticed_ = false;
   /// When the first listing of the present series of failures failed.
--- a/filbertwick/core/direct/direct_sidecar_upstream.cc
+++ b/filbertwick/core/direct/direct_sidecar_upstream.cc
@@ -19,8 +19,6 @@
 /// Unaccepted connections in a row after which the upstream is gone; a single
 /// one may be an accident of the network.
 constexpr uint32_t kUnreachedListingsOfGoneUpstream = 2;
-/// How long a crash is sent with every message; outlasts the loss of some.
-constexpr Duration kCrashNoticePeriod = std::chrono::seconds(1);
 /// A run that was started at most this long before a crash may be its cause.
 constexpr Duration kCrashSuspicion = std::chrono::milliseconds(20);
 /// Most tasks of a crash notice. More are started at a time only by a wide job,
@@ -192,7 +190,7 @@
       crash_.suspects.push_back({run.id.task, run.queue});
     }
   }
-  crash_noticed_until_ = now + kCrashNoticePeriod;
+  crash_noticed_at_ = now;
   NotifyAllEntries();
 }
 
--- a/filbertwick/core/direct/message.h
+++ b/filbertwick/core/direct/message.h
@@ -231,11 +231,13 @@
   /// Counts the crashes that this incarnation of the sidecar has seen; 0 when
   /// there was none lately.
   uint64_t number = 0;
+  /// Microseconds since the crash.
+  int64_t age_micros = 0;
   std::vector<CrashSuspect> suspects;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(number, suspects);
+    archive(number, age_micros, suspects);
   }
 };
 
--- a/filbertwick/core/policy/crash_containment.cc
+++ b/filbertwick/core/policy/crash_containment.cc
@@ -19,23 +19,24 @@
 
 }  // namespace
 
-bool CrashContainment::OnCrash(Instant now,
+bool CrashContainment::OnCrash(Instant at,
                                std::string_view task,
                                std::string_view queue,
                                uint32_t suspects) {
-  std::erase_if(suspects_, [now](const auto& item) {
-    return now - item.second.last_crash > kMemory;
+  std::erase_if(suspects_, [at](const auto& item) {
+    return at - item.second.last_crash > kMemory;
   });
   std::erase_if(confined_until_,
-                [now](const auto& item) { return item.second <= now; });
+                [at](const auto& item) { return item.second <= at; });
   Suspect& suspect = suspects_[std::string(task)];
   suspect.budget.OnCrash(suspects);
-  suspect.last_crash = now;
-  const bool was_confined = IsConfined(now, queue);
+  suspect.last_crash = std::max(suspect.last_crash, at);
+  const bool was_confined = IsConfined(at, queue);
   if (!was_confined && !suspect.budget.IsConvicted()) {
     return false;
   }
-  confined_until_[std::string(queue)] = now + kConfinement;
+  Instant& until = confined_until_[std::string(queue)];
+  until = std::max(until, at + kConfinement);
   return !was_confined;
 }
 
--- a/filbertwick/core/policy/crash_containment.h
+++ b/filbertwick/core/policy/crash_containment.h
@@ -26,9 +26,10 @@
 /// reasons do not do that.
 class CrashContainment {
  public:
-  /// Records that `task`, a task of `queue`, is one of `suspects` of a crash.
-  /// Returns true when this confines the queue.
-  bool OnCrash(Instant now,
+  /// Records that `task`, a task of `queue`, is one of `suspects` of a crash at
+  /// `at`, which may be some seconds ago. Returns true when this confines the
+  /// queue.
+  bool OnCrash(Instant at,
                std::string_view task,
                std::string_view queue,
                uint32_t suspects);
--- a/unit_tests/direct_sidecar_test.cc
+++ b/unit_tests/direct_sidecar_test.cc
@@ -608,3 +608,26 @@
   it.AnswerListings({});
   cr_assert(it.Offer({"c"}) == OneRefusal(Refusal::kNone));
 }
+
+// An entry that has restarted must not learn anew, by further crashes, which
+// tasks crash upstreams.
+Test(direct_sidecar, tells_a_restarted_entry_of_an_earlier_crash) {
+  Fixture it;
+  it.Offer({"a"});
+  it.AcceptStarts();
+  it.FailListings(CommandResult::kUnknown);
+  for (int n = 0; n < 5; ++n) {
+    it.AdvanceTime(10 * kMilli);
+    it.FailListings(CommandResult::kNotReached);
+  }
+  cr_assert_eq(it.last_message.crash.number, 1);
+  it.AdvanceTime(4000 * kMilli);
+  EntryMessage message = it.Message();
+  message.from.incarnation = 8;
+  message.wants_reply = true;
+  it.last_message = SidecarMessage();
+  it.sidecar->OnMessage(it.now, message, it.ClearedEffects());
+  it.Collect();
+  cr_assert_eq(it.last_message.crash.number, 1);
+  cr_assert_geq(it.last_message.crash.age_micros, 4'000'000);
+}
