Handle messages that arrive together at once

For each of them the entry tried to place all waiting jobs, looked at every sidecar for messages to be sent, and set its timer anew.

The messages that the socket holds are now handled together, up to 64, and the work that grows with sidecars and waiting jobs is done once for them. The busier an entry is, the fewer times it does it.

--- a/filbertwick/core/direct/direct_entry.cc
+++ b/filbertwick/core/direct/direct_entry.cc
@@ -427,7 +427,15 @@
 void DirectEntry::OnMessage(Instant now,
                             const SidecarMessage& message,
                             EntryEffects& effects) {
-  impl_->OnMessage(now, message);
+  OnMessages(now, {&message, 1}, effects);
+}
+
+void DirectEntry::OnMessages(Instant now,
+                             std::span<const SidecarMessage> messages,
+                             EntryEffects& effects) {
+  std::ranges::for_each(messages, [&](const SidecarMessage& message) {
+    impl_->OnMessage(now, message);
+  });
   impl_->FlushEffects(now, effects);
 }
 
--- a/filbertwick/core/direct/direct_entry.h
+++ b/filbertwick/core/direct/direct_entry.h
@@ -58,6 +58,12 @@
   void OnMessage(Instant now,
                  const SidecarMessage& message,
                  EntryEffects& effects);
+  /// Handles messages from sidecars that have arrived together. The work that
+  /// grows with the numbers of sidecars and waiting jobs is done once for all
+  /// of them, so that an entry that is behind catches up.
+  void OnMessages(Instant now,
+                  std::span<const SidecarMessage> messages,
+                  EntryEffects& effects);
   /// Adds sidecars that may exist. Those not known yet get a first message at
   /// the next OnWakeup().
   void AddSidecars(Instant now, std::span<const InstanceName> names);
--- a/filbertwick/net/datagram_port.cc
+++ b/filbertwick/net/datagram_port.cc
@@ -23,8 +23,10 @@
 class DatagramPort::Impl
     : public std::enable_shared_from_this<DatagramPort::Impl> {
  public:
-  Impl(asio::io_context& context, DatagramHook hook)
-      : socket_(context), hook_(std::move(hook)), receive_buffer_(64 * 1024) {}
+  Impl(asio::io_context& context, DatagramHooks hooks)
+      : socket_(context),
+        hooks_(std::move(hooks)),
+        receive_buffer_(64 * 1024) {}
 
   absl::Status Open(const std::string& host, uint16_t port) {
     error_code ec;
@@ -46,9 +48,8 @@
   void WaitForDatagrams() {
     socket_.async_wait(Udp::socket::wait_read,
                        [self = shared_from_this()](error_code ec) {
-                         if (!ec && !self->closed_) {
-                           self->ReceiveDatagrams();
-                           self->WaitForDatagrams();
+                         if (!ec) {
+                           self->HandleReadable();
                          }
                        });
   }
@@ -71,6 +72,15 @@
   }
 
  private:
+  void HandleReadable() {
+    ReceiveDatagrams();
+    // A hook may have closed the port.
+    if (!closed_) {
+      hooks_.batch_ended();
+      WaitForDatagrams();
+    }
+  }
+
   void ReceiveDatagrams() {
     for (int n = 0; n < kMaxDatagramsPerWakeup && !closed_; ++n) {
       Udp::endpoint from;
@@ -81,12 +91,12 @@
         // No datagram is left, or an ICMP error arrived for an earlier send.
         return;
       }
-      hook_(from, std::string_view(receive_buffer_.data(), size));
+      hooks_.received(from, std::string_view(receive_buffer_.data(), size));
     }
   }
 
   Udp::socket socket_;
-  DatagramHook hook_;
+  const DatagramHooks hooks_;
   std::vector<char> receive_buffer_;
   bool closed_ = false;
 };
@@ -102,8 +112,8 @@
     asio::io_context& context,
     const std::string& host,
     uint16_t port,
-    DatagramHook hook) {
-  auto impl = std::make_shared<Impl>(context, std::move(hook));
+    DatagramHooks hooks) {
+  auto impl = std::make_shared<Impl>(context, std::move(hooks));
   if (absl::Status status = impl->Open(host, port); !status.ok()) {
     return status;
   }
--- a/filbertwick/net/datagram_port.h
+++ b/filbertwick/net/datagram_port.h
@@ -18,10 +18,17 @@
     std::function<void(const boost::asio::ip::udp::endpoint& from,
                        std::string_view bytes)>;
 
+/// Functions that a DatagramPort calls on the thread of its io_context.
+struct DatagramHooks {
+  DatagramHook received;
+  /// Called after the datagrams that were received in one go.
+  std::function<void()> batch_ended;
+};
+
 /// Maximum size of a datagram, in bytes. Callers of Send() must check it.
 inline constexpr size_t kMaxDatagramBytes = 60 * 1024;
 
-/// UDP socket on one io_context that passes received datagrams to a hook.
+/// UDP socket on one io_context that passes received datagrams to its hooks.
 /// Sending never blocks: if the socket can't take a datagram at once, the
 /// datagram is dropped, just as the network may drop one.
 class DatagramPort {
@@ -32,7 +39,7 @@
       boost::asio::io_context& context,
       const std::string& host,
       uint16_t port,
-      DatagramHook hook);
+      DatagramHooks hooks);
   ~DatagramPort();
 
   /// Sends `bytes`. Returns false if the datagram was dropped by the socket;
--- a/filbertwick/net/instance_net.cc
+++ b/filbertwick/net/instance_net.cc
@@ -53,9 +53,10 @@
   absl::Status Open(asio::io_context& context) {
     auto port = DatagramPort::Create(
         context, settings_.self.host, settings_.port,
-        [this](const Udp::endpoint& from, std::string_view bytes) {
-          HandleDatagram(from, bytes);
-        });
+        {[this](const Udp::endpoint& from, std::string_view bytes) {
+           HandleDatagram(from, bytes);
+         },
+         [this] { hooks_.batch_ended(); }});
     if (!port.ok()) {
       return port.status();
     }
--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "filbertwick/core/direct/direct_entry.h"
 #include "filbertwick/core/direct/names.h"
@@ -137,11 +138,10 @@
 
   absl::Status Start(uint64_t incarnation) {
     PeerServiceHooks hooks;
-    hooks.sidecar_message = [this](const core::direct::SidecarMessage& it) {
-      runner_.Run([&](Instant now, EntryEffects& out) {
-        core().OnMessage(now, it, out);
-      });
+    hooks.sidecar_message = [this](core::direct::SidecarMessage it) {
+      received_messages_.push_back(std::move(it));
     };
+    hooks.batch_ended = [this] { HandleReceivedMessages(); };
     hooks.member_found = [this](const core::direct::Member& member) {
       if (!member.is_entry) {
         core().AddSidecars(MonotonicClock::now(), {{member.peer.name}});
@@ -210,6 +210,16 @@
     return absl::OkStatus();
   }
 
+  void HandleReceivedMessages() {
+    if (received_messages_.empty()) {
+      return;
+    }
+    runner_.Run([&](Instant now, EntryEffects& out) {
+      core().OnMessages(now, received_messages_, out);
+    });
+    received_messages_.clear();
+  }
+
   bool IsReady() const {
     return !drain_.begun() && peer_service_->control().has_configuration() &&
            core().Status(MonotonicClock::now()).usable_sidecars > 0;
@@ -429,6 +439,9 @@
   /// Requests that arrived before the first configuration.
   EarlyRequests early_requests_;
   DrainMonitor drain_;
+  /// Messages from sidecars that have arrived together; empty between two
+  /// batches.
+  std::vector<core::direct::SidecarMessage> received_messages_;
   /// Responders of the submissions that are not answered yet, by request
   /// number.
   std::map<uint64_t, http::Responder> responders_;
--- a/filbertwick/platform/peer_service.cc
+++ b/filbertwick/platform/peer_service.cc
@@ -136,6 +136,7 @@
     net::InstanceNetHooks hooks;
     hooks.entry_message = hooks_.entry_message;
     hooks.sidecar_message = hooks_.sidecar_message;
+    hooks.batch_ended = hooks_.batch_ended;
     hooks.member_found = hooks_.member_found;
     hooks.control_position_received = [this](const std::string& host,
                                              const ControlPosition& position) {
--- a/filbertwick/platform/peer_service.h
+++ b/filbertwick/platform/peer_service.h
@@ -23,6 +23,8 @@
   /// A message from a sidecar has arrived.
   std::function<void(core::direct::SidecarMessage)> sidecar_message =
       [](const core::direct::SidecarMessage&) {};
+  /// The messages that have arrived together were passed on.
+  std::function<void()> batch_ended = [] {};
   /// An instance is new, or runs as a new incarnation.
   std::function<void(const core::direct::Member&)> member_found =
       [](const core::direct::Member&) {};
--- a/unit_tests/direct_entry_test.cc
+++ b/unit_tests/direct_entry_test.cc
@@ -730,3 +730,25 @@
   cr_assert_eq(it.answers.size(), 1);
   cr_assert_eq(it.answers.front().outcome, JobOutcome::kFailed);
 }
+
+// The work for each message grows with sidecars and waiting jobs. An entry that
+// is behind must not do it for every message that has piled up.
+Test(direct_entry, places_once_for_messages_that_arrive_together) {
+  Fixture it;
+  it.SendFromSidecar(0, {}, {}, 0);
+  it.SendFromSidecar(1, {}, {}, 0);
+  it.Submit(it.Job("j", 4));
+  cr_assert(it.offers.empty());
+  const SidecarMessage messages[] = {it.MessageFrom(0, 2),
+                                     it.MessageFrom(1, 2)};
+  EntryEffects effects;
+  it.entry->OnMessages(it.now, messages, effects);
+  it.Collect(effects);
+  cr_assert_eq(it.offers.size(), 2);
+  cr_assert_eq(std::ranges::count_if(it.lines,
+                                     [](const std::string& line) {
+                                       return line.find("job_placed") !=
+                                              std::string::npos;
+                                     }),
+               1);
+}
