--- a/filbertwick/core/direct/direct_entry_impl.h
+++ b/filbertwick/core/direct/direct_entry_impl.h
@@ -97,9 +97,9 @@
   /// sidecars whose upstreams could run the remaining ones, unless the job only
   /// waits for earlier runs of its tasks to stop.
   bool PlaceReadyTasks(Instant now, DirectJob& job, ReservedSidecars& reserved);
-  /// Marks the candidates of the containment zone, and restricts the tasks to
-  /// it or to the others. `views` are those of `candidates`, `ready` the
-  /// indices of `tasks` in the job.
+  /// While a queue is confined, marks the candidates of the containment zone
+  /// and restricts the tasks to it or to the others. `views` are those of
+  /// `candidates`.
   void ApplyContainment(Instant now,
                         const DirectJob& job,
                         std::span<SidecarView* const> views,
--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -33,11 +33,12 @@
   placement_due_ = false;
   ReservedSidecars reserved;
   size_t jobs_left_waiting = 0;
-  bool zone_is_full = false;
+  /// Services whose containment zone has no room for a confined job.
+  std::set<std::string_view> full_zones;
   for (const uint64_t number : wait_queue_.InPlacementOrder()) {
     DirectJob& job = *jobs_.Find(number);
     const bool is_confined = containment_.IsConfined(now, job.spec.queue);
-    if (is_confined && zone_is_full) {
+    if (is_confined && full_zones.contains(job.spec.service)) {
       continue;
     }
     if (PlaceReadyTasks(now, job, reserved)) {
@@ -47,7 +48,7 @@
     Enqueue(job);
     if (is_confined) {
       // Confined jobs wait for the zone only, however many they are.
-      zone_is_full = true;
+      full_zones.insert(job.spec.service);
       continue;
     }
     // A job that waits gets the next free capacity that it can use. The jobs
--- a/filbertwick/core/direct/direct_sidecar_upstream.cc
+++ b/filbertwick/core/direct/direct_sidecar_upstream.cc
@@ -19,13 +19,6 @@
 /// Unaccepted connections in a row after which the upstream is gone; a single
 /// one may be an accident of the network.
 constexpr uint32_t kUnreachedListingsOfGoneUpstream = 2;
-/// A run that was started at most this long before a crash may be its cause.
-constexpr Duration kCrashSuspicion = std::chrono::milliseconds(20);
-/// Most tasks of a crash notice. More are started at a time only by a wide job,
-/// whose tasks are alike.
-constexpr size_t kMaxCrashSuspects = 8;
-/// Most tasks that one log line names; bounds the line.
-constexpr size_t kMaxLoggedTasks = 64;
 /// Time within which a restored upstream must answer; longer than the interval
 /// at which a live one announces itself.
 constexpr Duration kRestoreTimeout = std::chrono::seconds(2);
@@ -175,73 +168,6 @@
   NotifyAllEntries();
 }
 
-void DirectSidecar::Impl::NoticeCrash(Instant now) {
-  if (std::exchange(crash_noticed_, true)) {
-    return;
-  }
-  const auto runs = run_table_.runs() | std::views::values;
-  const Instant crashed_at =
-      listings_failing_since_ ? listings_broken_at_ : now;
-  ++crash_.number;
-  crash_.suspects.clear();
-  for (const ActiveRun& run : runs) {
-    if (run.start_sent_at >= crashed_at - kCrashSuspicion &&
-        crash_.suspects.size() < kMaxCrashSuspects) {
-      crash_.suspects.push_back({run.id.task, run.queue});
-    }
-  }
-  crash_noticed_at_ = now;
-  NotifyAllEntries();
-}
-
-void DirectSidecar::Impl::TakeLostRuns(Instant now,
-                                       EndKind kind,
-                                       std::string_view cause) {
-  if (run_table_.runs().empty()) {
-    return;
-  }
-  if (kind == EndKind::kCrashed) {
-    NoticeCrash(now);
-  }
-  std::vector<ActiveRun> lost = run_table_.Clear();
-  std::string tasks;
-  for (const ActiveRun& run : lost | std::views::take(kMaxLoggedTasks)) {
-    tasks += (tasks.empty() ? "" : " ") + run.id.task;
-  }
-  effects_.push_back(LogLine("upstream_runs_lost")
-                         .Add("upstream", upstream_->id)
-                         .Add("cause", cause)
-                         .Add("kind", ToString(kind))
-                         .Add("runs", static_cast<int64_t>(lost.size()))
-                         .Add("tasks", tasks));
-  for (ActiveRun& run : lost) {
-    const bool is_suspect =
-        kind == EndKind::kCrashed &&
-        std::ranges::find(crash_.suspects, run.id.task, &CrashSuspect::task) !=
-            crash_.suspects.end();
-    const auto suspects =
-        is_suspect ? static_cast<uint32_t>(crash_.suspects.size()) : 0;
-    unreported_lost_runs_.push_back({std::move(run), kind, suspects});
-  }
-}
-
-void DirectSidecar::Impl::DropAllRuns(Instant now,
-                                      EndKind kind,
-                                      std::string_view cause) {
-  TakeLostRuns(now, kind, cause);
-  ReportLostRuns(now);
-}
-
-void DirectSidecar::Impl::ReportLostRuns(Instant now) {
-  for (const LostRun& lost : std::exchange(unreported_lost_runs_, {})) {
-    if (Session* session = sessions_.Find(lost.run.owner)) {
-      SessionTable::AddEnd(*session, {0, lost.run.id, lost.kind,
-                                      (now - lost.run.start_sent_at).count(),
-                                      lost.crash_suspects});
-    }
-  }
-}
-
 void DirectSidecar::Impl::BeginSync(Instant now) {
   state_ = UpstreamState::kSyncing;
   listings_failing_since_.reset();
@@ -457,6 +383,7 @@
   listings_.erase(it);
   listings_failing_since_.reset();
   unreached_listings_ = 0;
+  crash_noticed_ = false;
   if (listing.started_unix_millis != 0 &&
       listing.started_unix_millis != upstream_->started_unix_millis) {
     // The upstream has restarted under the same id: the earlier runs are gone.
--- a/filbertwick/core/direct/sidecar_view.h
+++ b/filbertwick/core/direct/sidecar_view.h
@@ -110,7 +110,8 @@
   }
 
   /// Returns every run that is offered, accepted, unconfirmed or to be stopped,
-  /// and clears all these but `stops`.
+  /// and clears `offers`, `runs`, `suspect_runs` and `unconfirmed_runs`;
+  /// `stops` stays.
   std::set<TaskRun> TakeUnfinishedRuns();
 
   /// Calls `visit` with the timer of every unanswered offer and stop.
--- a/unit_tests/direct_policy_test.cc
+++ b/unit_tests/direct_policy_test.cc
@@ -300,6 +300,7 @@
 
 Test(crash_containment, selects_the_same_quarter_of_the_upstreams_everywhere) {
   std::vector<InstanceName> names;
+  names.reserve(11);
   for (int n = 0; n < 11; ++n) {
     names.emplace_back("s" + std::to_string(n));
   }
--- a/unit_tests/direct_sidecar_test.cc
+++ b/unit_tests/direct_sidecar_test.cc
@@ -631,3 +631,26 @@
   cr_assert_eq(it.last_message.crash.number, 1);
   cr_assert_geq(it.last_message.crash.age_micros, 4'000'000);
 }
+
+// Connections were refused on the way, and the upstream works on.
+Test(direct_sidecar, notices_a_crash_after_a_false_alarm) {
+  Fixture it;
+  const auto refuse_listings = [&] {
+    for (int n = 0; n < 5; ++n) {
+      it.AdvanceTime(10 * kMilli);
+      it.FailListings(CommandResult::kNotReached);
+    }
+  };
+  it.Offer({"a"});
+  it.AcceptStarts();
+  refuse_listings();
+  cr_assert_eq(it.last_message.crash.number, 1);
+  Listing listing;
+  listing.running.push_back({{"a", 1}, 1});
+  it.AdvanceTime(20 * kMilli);
+  it.AnswerListings(listing);
+  it.AdvanceTime(kMilli);
+  cr_assert(it.last_message.accepts_tasks);
+  refuse_listings();
+  cr_assert_eq(it.last_message.crash.number, 2);
+}
