Count no crash under a run that may not have started

Cause: a start that is sent to an upstream which is just going stays unanswered; its run stands in the table until the lease has ended, and counted as one that had crashed the upstream.

Runs whose start was never answered end as lost and are no suspects. direct_sidecar counts_no_crash_under_a_run_that_may_not_have_started failed before.

--- a/filbertwick/core/direct/direct_sidecar_losses.cc
+++ b/filbertwick/core/direct/direct_sidecar_losses.cc
@@ -24,7 +24,7 @@
   ++crash_.number;
   crash_.suspects.clear();
   for (const ActiveRun& run : runs) {
-    if (run.start_sent_at >= crashed_at - kCrashSuspicion &&
+    if (run.seen_running && run.start_sent_at >= crashed_at - kCrashSuspicion &&
         crash_.suspects.size() < kMaxCrashSuspects) {
       crash_.suspects.push_back({run.id.task, run.queue});
     }
@@ -54,13 +54,16 @@
                          .Add("runs", static_cast<int64_t>(lost.size()))
                          .Add("tasks", tasks));
   for (ActiveRun& run : lost) {
+    // Without an answer to its start, the run may never have begun.
+    const bool has_crashed = kind == EndKind::kCrashed && run.seen_running;
     const bool is_suspect =
-        kind == EndKind::kCrashed &&
+        has_crashed &&
         std::ranges::find(crash_.suspects, run.id.task, &CrashSuspect::task) !=
             crash_.suspects.end();
     const auto suspects =
         is_suspect ? static_cast<uint32_t>(crash_.suspects.size()) : 0;
-    unreported_lost_runs_.push_back({std::move(run), kind, suspects});
+    const EndKind kind_of_run = has_crashed ? kind : EndKind::kLost;
+    unreported_lost_runs_.push_back({std::move(run), kind_of_run, suspects});
   }
 }
 
--- a/unit_tests/direct_sidecar_test.cc
+++ b/unit_tests/direct_sidecar_test.cc
@@ -654,3 +654,25 @@
   refuse_listings();
   cr_assert_eq(it.last_message.crash.number, 2);
 }
+
+// The upstream was gone before the start reached it, or may have been. The task
+// must not be given up for it.
+Test(direct_sidecar, counts_no_crash_under_a_run_that_may_not_have_started) {
+  Fixture it;
+  it.Offer({"a", "b"});
+  it.sidecar->OnCommandResult(it.now, it.starts[0].header.number,
+                              CommandResult::kAccepted, 1000,
+                              it.ClearedEffects());
+  it.Collect();
+  it.FailListings(CommandResult::kUnknown);
+  for (int n = 0; n < 60; ++n) {
+    it.AdvanceTime(10 * kMilli);
+    it.FailListings(CommandResult::kNotReached);
+  }
+  cr_assert_eq(it.last_message.crash.suspects.size(), 1);
+  cr_assert_eq(it.last_message.crash.suspects.front().task, "a");
+  for (const RunEnd& end : it.ends) {
+    cr_assert_eq(end.kind,
+                 end.run.task == "a" ? EndKind::kCrashed : EndKind::kLost);
+  }
+}
