--- a/unit_tests/direct_sidecar_test.cc
+++ b/unit_tests/direct_sidecar_test.cc
@@ -120,6 +120,14 @@
     }
   }
 
+  /// Refuses the connections of `n` listings in a row, 10 ms apart.
+  void RefuseListings(int n) {
+    while (n-- > 0) {
+      AdvanceTime(std::chrono::milliseconds(10));
+      FailListings(CommandResult::kNotReached);
+    }
+  }
+
   void AcceptStarts() {
     for (size_t n = accepted; n < starts.size(); ++n) {
       sidecar->OnCommandResult(now, starts[n].header.number,
@@ -581,10 +589,7 @@
   it.Offer({"a"});
   it.AcceptStarts();
   it.FailListings(CommandResult::kUnknown);
-  for (int n = 0; n < 5; ++n) {
-    it.AdvanceTime(10 * kMilli);
-    it.FailListings(CommandResult::kNotReached);
-  }
+  it.RefuseListings(5);
   cr_assert(it.Offer({"b"}) == OneRefusal(Refusal::kNotAccepting));
   // The lease may be all that ends a run when connections are refused on the
   // way.
@@ -616,10 +621,7 @@
   it.Offer({"a"});
   it.AcceptStarts();
   it.FailListings(CommandResult::kUnknown);
-  for (int n = 0; n < 5; ++n) {
-    it.AdvanceTime(10 * kMilli);
-    it.FailListings(CommandResult::kNotReached);
-  }
+  it.RefuseListings(5);
   cr_assert_eq(it.last_message.crash.number, 1);
   it.AdvanceTime(4000 * kMilli);
   EntryMessage message = it.Message();
@@ -635,15 +637,9 @@
 // Connections were refused on the way, and the upstream works on.
 Test(direct_sidecar, notices_a_crash_after_a_false_alarm) {
   Fixture it;
-  const auto refuse_listings = [&] {
-    for (int n = 0; n < 5; ++n) {
-      it.AdvanceTime(10 * kMilli);
-      it.FailListings(CommandResult::kNotReached);
-    }
-  };
   it.Offer({"a"});
   it.AcceptStarts();
-  refuse_listings();
+  it.RefuseListings(5);
   cr_assert_eq(it.last_message.crash.number, 1);
   Listing listing;
   listing.running.push_back({{"a", 1}, 1});
@@ -651,7 +647,7 @@
   it.AnswerListings(listing);
   it.AdvanceTime(kMilli);
   cr_assert(it.last_message.accepts_tasks);
-  refuse_listings();
+  it.RefuseListings(5);
   cr_assert_eq(it.last_message.crash.number, 2);
 }
 
@@ -665,10 +661,7 @@
                               it.ClearedEffects());
   it.Collect();
   it.FailListings(CommandResult::kUnknown);
-  for (int n = 0; n < 60; ++n) {
-    it.AdvanceTime(10 * kMilli);
-    it.FailListings(CommandResult::kNotReached);
-  }
+  it.RefuseListings(60);
   cr_assert_eq(it.last_message.crash.suspects.size(), 1);
   cr_assert_eq(it.last_message.crash.suspects.front().task, "a");
   for (const RunEnd& end : it.ends) {
