--- a/review/bed/bed.cc
+++ b/review/bed/bed.cc
@@ -35,6 +35,8 @@
 constexpr int64_t kMaxLeaseMs = 1000;
 /// A stop takes effect after this time; the pages allow 50 ms.
 constexpr int64_t kStopMs = 5;
+/// Most ends in one answer.
+constexpr size_t kMaxListedEnds = 500;
 constexpr const char* kService = "bed-service";
 constexpr const char* kHost = "bed.example";
 constexpr const char* kProgram = "target/bin/filbertwick-platform";
@@ -716,7 +718,8 @@
   }
   body << "],\"ended\":[";
   comma = "";
-  for (const End& it : ends_) {
+  for (size_t n = 0; n < ends_.size() && n < kMaxListedEnds; ++n) {
+    const End& it = ends_[n];
     body << comma << "[" << it.number << ",\"" << it.task << "\"," << it.run
          << ",\"" << it.how << "\",\"\"]";
     comma = ",";
