Review: the known second run after a pause of a sidecar, with real processes

At fault: ExpireSidecar() in core/direct/direct_entry_sessions.cc reckons with leases only; the sidecar has no part until it goes on.

--- a/review/bed/bed.cc
+++ b/review/bed/bed.cc
@@ -545,7 +545,7 @@
     bool acknowledged = false;
     int64_t due = 0;
     while (!closed_) {
-      if (NowMs() >= due && !cut_) {
+      if (NowMs() >= due) {
         acknowledged |= Announce();
         due = NowMs() + (acknowledged ? kHeartbeatMs : kFirstHeartbeatMs);
       }
@@ -586,6 +586,11 @@
   return response.status == 200;
 }
 
+std::vector<Request> Executor::TakeKeptStarts() {
+  const std::scoped_lock lock(mutex_);
+  return std::exchange(kept_starts_, {});
+}
+
 size_t Executor::running() const {
   const std::scoped_lock lock(mutex_);
   return tasks_.size();
@@ -631,6 +636,11 @@
   if (closed_) {
     return {0, ""};
   }
+  if (request.target == "/api/run-start" && keeps_start_.exchange(false)) {
+    kept_starts_.push_back(request);
+    ended_.wait(lock, [this] { return closed_.load(); });
+    return {0, ""};
+  }
   const auto meant = request.headers.find("filbertwick-expect-instance");
   if (meant != request.headers.end() && meant->second != settings_.id) {
     return {421, "{}"};
--- a/review/bed/bed.h
+++ b/review/bed/bed.h
@@ -199,8 +199,12 @@
   bool Announce();
   /// From now on announcements say that the executor drains.
   void BeginDraining() { draining_ = true; }
-  /// Stops the regular announcements, as a cut between the two does.
-  void SetCut(bool cut) { cut_ = cut; }
+  /// The next start gets no answer from now on and isn't carried out yet.
+  void KeepNextStart() { keeps_start_ = true; }
+  /// Returns the starts that were kept.
+  std::vector<Request> TakeKeptStarts();
+  /// Carries out a call that was sent earlier, whose answer goes nowhere.
+  Response CarryOutLate(const Request& request) { return Handle(request); }
   const std::string& id() const { return settings_.id; }
   int64_t born() const { return born_; }
   size_t running() const;
@@ -234,7 +238,8 @@
   const int64_t started_ = NowMs();
   int64_t born_ = 0;
   std::atomic<bool> draining_ = false;
-  std::atomic<bool> cut_ = false;
+  std::atomic<bool> keeps_start_ = false;
+  std::vector<Request> kept_starts_;
   std::atomic<bool> closed_ = false;
   std::atomic<int64_t> sequence_ = 0;
   mutable std::mutex mutex_;
@@ -295,6 +300,7 @@
   Runs& runs() { return runs_; }
   Store& store() { return *store_; }
   Instance& entry(size_t n) { return *entries_[n]; }
+  Instance& sidecar(size_t n) { return *sidecars_[n]; }
   std::unique_ptr<Executor>& executor(size_t n) { return executors_[n]; }
   const std::string& entry_host(size_t n) const { return entry_hosts_[n]; }
   const std::string& sidecar_host(size_t n) const { return sidecar_hosts_[n]; }
