--- a/bench/live/child_process.h
+++ b/bench/live/child_process.h
@@ -35,6 +35,7 @@
   /// Sends SIGTERM, then SIGKILL if the process does not end in time.
   ~ChildProcess();
 
+  pid_t pid() const { return pid_; }
   /// Reads a line from standard output and returns it without its line end.
   std::string ReadLine() const;
   /// Reads the usage from /proc; all zero if the process has ended.
--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -58,33 +58,43 @@
 endfunction()
 
 # Declares a test program `<name>` built from unit_tests/<name>.cc with
-# Criterion, and registers it with ctest.
-#   fw_test(<name> <package>...)
+# Criterion, and registers it with ctest. With SERIAL, its tests run one at a
+# time, and no other test beside them.
+#   fw_test(<name> [SERIAL] <package>...)
 function(fw_test name)
   # A merge may leave the same fw_test() line twice; the second is ignored.
   if(TARGET ${name})
     return()
   endif()
+  cmake_parse_arguments(ARG "SERIAL" "" "" ${ARGN})
+  set(jobs 2)
+  if(ARG_SERIAL)
+    set(jobs 1)
+  endif()
   add_executable(${name} ${CMAKE_SOURCE_DIR}/unit_tests/${name}.cc)
-  list(TRANSFORM ARGN PREPEND fw_)
-  target_link_libraries(${name} PRIVATE ${ARGN} PkgConfig::CRITERION)
+  set(packages ${ARG_UNPARSED_ARGUMENTS})
+  list(TRANSFORM packages PREPEND fw_)
+  target_link_libraries(${name} PRIVATE ${packages} PkgConfig::CRITERION)
   # A line `test: <program> <suite>/<test>` of KNOWN-RED.txt takes one test out
   # of its program's run and into one with the label known_red.
   set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS
                                          ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
   file(STRINGS ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt red REGEX " test: ${name} ")
-  list(TRANSFORM red REPLACE "^ *test: [^ ]+ ([^ ]+) *$" "\\1")
+  list(TRANSFORM red REPLACE "^ *test: [^ ]+ ([^ ]+).*$" "\\1")
   set(passing)
   if(red)
     list(JOIN red "|" red)
     set(passing --filter "!(${red})")
-    add_test(NAME ${name}_known_red COMMAND ${name} --filter "@(${red})"
+    add_test(NAME ${name}_known_red
+             COMMAND ${name} --jobs ${jobs} --filter "@(${red})"
              WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
-    set_tests_properties(${name}_known_red PROPERTIES LABELS known_red)
+    set_tests_properties(${name}_known_red PROPERTIES LABELS known_red
+                                                      RUN_SERIAL ${ARG_SERIAL})
   endif()
-  add_test(NAME ${name} COMMAND ${name} --jobs 2 ${passing}
+  add_test(NAME ${name} COMMAND ${name} --jobs ${jobs} ${passing}
            WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
-  set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+  set_tests_properties(${name} PROPERTIES TIMEOUT 300 RUN_SERIAL
+                                          ${ARG_SERIAL})
 endfunction()
 
 # Declares a benchmark program `<name>` built from bench/<name>.cc.
