Do not parse the last chunk of a body before it can be complete

Callers lost every request of a process when any client sent a chunked body without data whose last chunk arrived in parts: Boost.Beast asserts that five bytes of it are there when its parser is called again, and the process ended. Builds without assertions, as deployed on the users' platform, went on. The HTTP client had the same fault with answers.

An incomplete chunked message always has at least five bytes to come, "0\r\n" and the end of the trailer section, so the parser is only called with five.

--- a/filbertwick/http/client.cc
+++ b/filbertwick/http/client.cc
@@ -19,6 +19,7 @@
 #include <utility>
 #include <vector>
 
+#include "filbertwick/http/chunked_input.h"
 #include "filbertwick/http/format.h"
 
 namespace filbertwick::http {
@@ -328,6 +329,9 @@
 }
 
 bool Client::Impl::Connection::ParseOnce() {
+  if (NeedsMoreOfChunk(*parser_, buffer_.size())) {
+    return false;
+  }
   ErrorCode ec;
   const size_t n = parser_->put(buffer_.data(), ec);
   buffer_.consume(n);
--- a/filbertwick/http/server_connection.cc
+++ b/filbertwick/http/server_connection.cc
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <utility>
 
+#include "filbertwick/http/chunked_input.h"
 #include "filbertwick/http/server_impl.h"
 #include "filbertwick/http/server_message.h"
 
@@ -159,6 +160,9 @@
     request_deadline_ = now + limits.read_timeout;
     deadline_ = now + std::min(limits.header_timeout, limits.read_timeout);
   }
+  if (NeedsMoreOfChunk(*parser_, buffer_.size())) {
+    return false;
+  }
   ErrorCode ec;
   const size_t n = parser_->put(buffer_.data(), ec);
   buffer_.consume(n);
--- a/unit_tests/http_client_test.cc
+++ b/unit_tests/http_client_test.cc
@@ -141,6 +141,24 @@
   cr_assert_eq(call.get().response->body, "rest");
 }
 
+// The last chunk of an empty body, when it arrived in two parts, ended the
+// process in an assertion of the parser.
+Test(http_client, empty_chunked_body_may_arrive_in_parts) {
+  RawServer server;
+  TestClient client(server.settings);
+  auto result = client.Call({}, kTestTimeout);
+  auto socket = server.Accept();
+  RawServer::ReadHead(socket);
+  RawServer::Send(socket,
+                  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "0\r\n\r");
+  // Lets the client read what was sent.
+  client.loop.Run([] {});
+  RawServer::Send(socket, "\n");
+  const CallResult done = result.get();
+  cr_assert(done.response.ok() && done.response->body.empty());
+}
+
 Test(http_client, truncated_or_malformed_response_fails) {
   RawServer server;
   TestClient client(server.settings);
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -99,6 +99,19 @@
   cr_assert(raw.ReadAll().ends_with("/c abcde"));
 }
 
+// The last chunk of an empty body, when it arrived in two parts, ended the
+// process in an assertion of the parser.
+Test(http_server, empty_chunked_body_may_arrive_byte_by_byte) {
+  EchoServer server;
+  RawConnection raw(server.port());
+  raw.Send(
+      "POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+      "Connection: close\r\n\r\n0\r\n\r");
+  cr_assert(server.AnswersRequests());
+  raw.Send("\n");
+  cr_assert(raw.ReadAll().ends_with("/c "));
+}
+
 // The server rejects the body before it has read all of it. Closing at once
 // would reset the connection, and the client could lose the response.
 Test(http_server, oversized_body_is_rejected_and_the_response_arrives) {
