Limit chunk headers and trailer sections like the header section

Clients that sent trailer fields, one trailer field or a chunk extension without end ended the process, and with it the requests of all callers. The parser reads a chunk header, and the trailer section with the last one, as a whole and leaves it in our buffer until then; the header limit covers the header section only.

What the parser leaves unread within a body now has that limit as well: 431 from the server, a failed call in the client, which had the same fault.

--- a/filbertwick/http/chunked_input.h
+++ b/filbertwick/http/chunked_input.h
@@ -20,6 +20,16 @@
          buffered < kMinChunkedRest;
 }
 
+/// Returns true if the `unread` bytes, with which `parser` needs more, are too
+/// many. They are a chunk header or the trailer section, on which the parser
+/// sets no limit.
+template <typename Parser>
+bool IsChunkHeaderTooLarge(const Parser& parser,
+                           size_t unread,
+                           size_t max_bytes) {
+  return parser.is_header_done() && unread > max_bytes;
+}
+
 }  // namespace filbertwick::http
 
 #endif  // FILBERTWICK_HTTP_CHUNKED_INPUT_H_
--- a/filbertwick/http/client.cc
+++ b/filbertwick/http/client.cc
@@ -340,6 +340,11 @@
     return false;
   }
   if (!parser_->is_done()) {
+    if (ec &&
+        IsChunkHeaderTooLarge(*parser_, buffer_.size(), kMaxHeaderBytes)) {
+      CloseAndFailCall("malformed response", beast::http::error::header_limit);
+      return false;
+    }
     return n > 0;
   }
   // Skip interim responses such as 100 Continue.
--- a/filbertwick/http/server.h
+++ b/filbertwick/http/server.h
@@ -16,7 +16,8 @@
 
 /// Size limits of requests, and timeouts of requests and connections.
 struct RequestLimits {
-  /// A request with a larger header section is answered with 431.
+  /// A request with a larger header section is answered with 431, and so is one
+  /// with a larger chunk header or trailer section.
   uint32_t max_header_bytes = 16 * 1024;
   /// A request with a larger body is answered with 413.
   size_t max_body_bytes = 8 * 1024 * 1024;
--- a/filbertwick/http/server_connection.cc
+++ b/filbertwick/http/server_connection.cc
@@ -167,8 +167,7 @@
   const size_t n = parser_->put(buffer_.data(), ec);
   buffer_.consume(n);
   if (ec && ec != beast::http::error::need_more) {
-    keep_alive_ = false;
-    SendResponse(MakeParseErrorResponse(ec));
+    RejectRequest(MakeParseErrorResponse(ec));
     return false;
   }
   if (parser_->is_done()) {
@@ -176,9 +175,19 @@
     return true;
   }
   ProcessHeaderIfComplete();
+  if (ec && IsChunkHeaderTooLarge(*parser_, buffer_.size(),
+                                  owner_.settings_.max_header_bytes)) {
+    RejectRequest(MakeErrorResponse(431, "chunk_header_too_large"));
+    return false;
+  }
   return n > 0;
 }
 
+void Server::Impl::Connection::RejectRequest(Response response) {
+  keep_alive_ = false;
+  SendResponse(std::move(response));
+}
+
 void Server::Impl::Connection::ProcessHeaderIfComplete() {
   if (header_processed_ || !parser_->is_header_done()) {
     return;
@@ -318,8 +327,7 @@
     return;
   }
   if (state_ == State::kReading && request_started_) {
-    keep_alive_ = false;
-    SendResponse(MakeErrorResponse(408, "request_timeout"));
+    RejectRequest(MakeErrorResponse(408, "request_timeout"));
     ParseBuffered();
     return;
   }
--- a/filbertwick/http/server_impl.h
+++ b/filbertwick/http/server_impl.h
@@ -143,6 +143,8 @@
   /// When the header section has just been completed, extends the deadline to
   /// that of the request and answers `Expect: 100-continue`.
   void ProcessHeaderIfComplete();
+  /// Answers a request that is not read to its end, and ends the connection.
+  void RejectRequest(Response response);
   void CallHandler();
   /// Returns true if the client has reset the connection, or closed it while a
   /// disconnect hook is set. A complete request may still be read from such a
--- a/unit_tests/http_client_test.cc
+++ b/unit_tests/http_client_test.cc
@@ -159,6 +159,21 @@
   cr_assert(done.response.ok() && done.response->body.empty());
 }
 
+// Trailer sections and chunk extensions were held without a limit.
+Test(http_client, oversized_trailers_and_chunk_extensions_fail) {
+  for (const std::string_view start : {"0\r\nX: ", "3;x="}) {
+    RawServer server;
+    TestClient client(server.settings);
+    auto result = client.Call({}, kTestTimeout);
+    auto socket = server.Accept();
+    RawServer::ReadHead(socket);
+    RawServer::Send(socket,
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                        std::string(start) + std::string(20'000, 'x'));
+    cr_assert_not(result.get().response.ok());
+  }
+}
+
 Test(http_client, truncated_or_malformed_response_fails) {
   RawServer server;
   TestClient client(server.settings);
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -112,6 +112,28 @@
   cr_assert(raw.ReadAll().ends_with("/c "));
 }
 
+// Trailer sections and chunk extensions were held without a limit.
+Test(http_server, oversized_trailers_and_chunk_extensions_are_rejected) {
+  ServerSettings settings;
+  settings.max_header_bytes = 1000;
+  EchoServer server(settings);
+  const std::string head =
+      "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string filler(5000, 'x');
+  for (const std::string& rest :
+       {"0\r\nX: " + filler, "3\r\nabc\r\n0\r\nX: " + filler, "3;x=" + filler,
+        "3\r\nabc\r\n3;x=" + filler}) {
+    RawConnection raw(server.port());
+    raw.Send(head + rest);
+    const std::string bytes = raw.ReadAll();
+    cr_assert(StartsWithStatus(bytes, 431), "%s", bytes.c_str());
+  }
+  RawConnection raw(server.port());
+  raw.Send(head + "3;x=y\r\nabc\r\n0\r\nX: " + filler.substr(0, 900) +
+           "\r\n\r\n");
+  cr_assert(raw.Read(12) == "HTTP/1.1 200");
+}
+
 // The server rejects the body before it has read all of it. Closing at once
 // would reset the connection, and the client could lose the response.
 Test(http_server, oversized_body_is_rejected_and_the_response_arrives) {
