Place jobs that wait behind those of another, full service

Callers of one service got no answer, though its upstreams were idle, while 16 jobs or more waited in front of theirs for another service: a pass over the waiting jobs ended after 16 that had to wait on, whatever service they were for.

The limit now counts for each service. Further jobs of a service that has reached it are left out, at the cost of a look-up each; the pass ends when all known services have reached it, so with one service it is as long as before.

Before: direct_entry/places_a_job_behind_many_that_wait_for_another_service fails, client_crowd/jobs_that_wait_for_another_service has no answer after 20 s.

--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -3,8 +3,8 @@
 namespace filbertwick::core::direct {
 namespace {
 
-/// A placement pass ends after this many jobs that have to wait on; bounds its
-/// time under overload.
+/// A placement pass leaves out the further jobs of a service once this many of
+/// them have to wait on; bounds its time under overload.
 constexpr size_t kMaxJobsLeftWaiting = 16;
 
 /// Shortest interval between two rebuilds of the needs that wait. They are kept
@@ -31,12 +31,19 @@
   // late for the first jobs.
   gains_tried_ = upstreams_.gains();
   recheck_at_ = containment_.IsActive(now) ? now : Instant::max();
-  size_t jobs_left_waiting = 0;
+  /// Jobs left waiting by service. The limit is one of each service: jobs that
+  /// wait for a full service must not keep those of others from free upstreams.
+  std::map<std::string_view, size_t> jobs_left_waiting;
+  size_t services_left_out = 0;
   bool has_placed = false;
   /// Services whose containment zone has no room for a confined job.
   std::set<std::string_view> full_zones;
   for (const uint64_t number : wait_queue_.InPlacementOrder()) {
     DirectJob& job = *jobs_.Find(number);
+    size_t& left_waiting = jobs_left_waiting[job.spec.service];
+    if (left_waiting >= kMaxJobsLeftWaiting) {
+      continue;
+    }
     const bool is_confined = containment_.IsConfined(now, job.spec.queue);
     if (is_confined && full_zones.contains(job.spec.service)) {
       continue;
@@ -64,7 +71,11 @@
     // A job that waits gets the next free capacity that it can use. The jobs
     // behind it get only what it can't use: other services, machines without
     // its label, upstreams that are too small or too slow for it.
-    if (++jobs_left_waiting >= kMaxJobsLeftWaiting ||
+    if (++left_waiting >= kMaxJobsLeftWaiting &&
+        upstreams_.Find(job.spec.service) != nullptr) {
+      ++services_left_out;
+    }
+    if (services_left_out >= upstreams_.CountServices() ||
         !upstreams_.HasUnreservedCpu()) {
       break;
     }
--- a/filbertwick/core/direct/upstream_table.h
+++ b/filbertwick/core/direct/upstream_table.h
@@ -63,6 +63,7 @@
 
   /// Returns the upstreams of a service, or null when none was heard yet.
   Service* Find(std::string_view service);
+  size_t CountServices() const { return services_.size(); }
   /// Returns the run time ratio above which the upstream of a sidecar is slow.
   double SlowRatioOf(const SidecarView& view) const;
   SidecarView& view(policy::UpstreamHandle upstream) {
--- a/unit_tests/direct_entry_test.cc
+++ b/unit_tests/direct_entry_test.cc
@@ -507,3 +507,25 @@
   }
   cr_assert_eq(tasks, 4);
 }
+
+// Jobs that wait for one service kept the jobs of another from free upstreams,
+// once as many waited as a pass over the waiting jobs leaves waiting.
+Test(direct_entry, places_a_job_behind_many_that_wait_for_another_service) {
+  for (const std::string_view full : {"service", "service-without-upstream"}) {
+    Fixture it;
+    SidecarMessage other = it.MessageFrom(1, 2);
+    other.upstream.service = "other";
+    it.Deliver(other);
+    for (int n = 0; n < 40; ++n) {
+      JobRequest job = it.Job("waits" + std::to_string(n), 2);
+      job.service = full;
+      it.Submit(job);
+    }
+    it.offers.clear();
+    JobRequest job = it.Job("j", 1);
+    job.service = "other";
+    it.Submit(job);
+    cr_assert_eq(it.offers.size(), 1);
+    cr_assert_eq(it.offers.front().first, 1);
+  }
+}
