One budget for the memory that a process holds for its clients

Callers lost their requests when a crowd of others made the process exceed the memory of its machine: parts of requests, requests read ahead and answers that are not taken had limits for each connection only, 3,000 times 4 MiB.

The servers of a process share a budget now, two thirds of what `memory-mb` leaves after the process itself, less what the allocator adds. When it is used up, the connections that hold most for longest without bringing a request to its end are given up, with 503 and Retry-After where one was begun; it has not run. Bytes are read into one buffer of the server instead of one for each connection, and nothing is read ahead while half of the budget is used. Listeners to which requests have no bodies take none.

--- a/filbertwick/http/server.cc
+++ b/filbertwick/http/server.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <exception>
+#include <iterator>
+#include <ranges>
 #include <utility>
 
 #include "filbertwick/http/server_impl.h"
@@ -74,9 +76,9 @@
   if (connections_.size() < settings_.max_connections) {
     const auto connection =
         std::make_shared<Connection>(*this, std::move(socket));
-    connections_.insert(connection);
+    connection->Start();
+    connections_.emplace(connection->id(), connection);
     open_connections_ = connections_.size();
-    connection->StartReading();
     ScheduleDeadlineCheck();
   }
   Accept();
@@ -103,8 +105,9 @@
 void Server::Impl::CheckDeadlines() {
   deadline_check_scheduled_ = false;
   const Instant now = MonotonicClock::now();
-  const std::vector<std::shared_ptr<Connection>> connections(
-      connections_.begin(), connections_.end());
+  std::vector<std::shared_ptr<Connection>> connections;
+  std::ranges::copy(connections_ | std::views::values,
+                    std::back_inserter(connections));
   for (const auto& connection : connections) {
     connection->CheckDeadline(now);
   }
@@ -121,9 +124,9 @@
   stopping_ = true;
   ErrorCode ec;
   acceptor_.close(ec);
-  std::ranges::for_each(connections_, [](const auto& connection) {
+  for (const auto& connection : connections_ | std::views::values) {
     connection->CloseAfterCurrentRequest();
-  });
+  }
 }
 
 void Server::Impl::DispatchStopAccepting() {
@@ -145,13 +148,14 @@
   shut_down_ = true;
   deadline_check_timer_.cancel();
   while (!connections_.empty()) {
-    const auto connection = *connections_.begin();
+    const auto connection = connections_.begin()->second;
     connection->Close();
   }
 }
 
 void Server::Impl::Remove(const std::shared_ptr<Connection>& connection) {
-  connections_.erase(connection);
+  budget().Remove(connection->id());
+  connections_.erase(connection->id());
   open_connections_ = connections_.size();
 }
 
--- a/filbertwick/http/server.h
+++ b/filbertwick/http/server.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "filbertwick/base/time.h"
+#include "filbertwick/core/policy/client_budget.h"
 #include "filbertwick/http/message.h"
 
 namespace filbertwick::http {
@@ -40,6 +41,11 @@
   uint16_t port = 0;
   /// Connections accepted beyond this number are closed immediately.
   size_t max_connections = 4096;
+  /// Bounds the memory held for clients. Servers of one io_context may share
+  /// it; without one, the server has a budget of kDefaultBudgetBytes. A client
+  /// whose request must go before it is complete is answered with 503.
+  std::shared_ptr<core::policy::ClientBudget> budget;
+  static constexpr size_t kDefaultBudgetBytes = 256 * 1024 * 1024;
 };
 
 /// Sends the response to one request. May be called from any thread, during the
--- a/filbertwick/http/server_connection.cc
+++ b/filbertwick/http/server_connection.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "filbertwick/http/chunked_input.h"
+#include "filbertwick/http/json_response.h"
 #include "filbertwick/http/server_impl.h"
 #include "filbertwick/http/server_message.h"
 
@@ -21,11 +22,13 @@
 namespace beast = boost::beast;
 using Tcp = asio::ip::tcp;
 
-/// Buffer space for one read, until the header section is complete and after.
-constexpr size_t kHeaderReadBytes = 4 * 1024;
-constexpr size_t kBodyReadBytes = 64 * 1024;
 /// Bytes of further requests that are read before the present one is answered.
 constexpr size_t kMaxPipelinedBytes = 64 * 1024;
+/// The same while the budget is short. Bytes are still read then, so that a
+/// close by the client is noticed.
+constexpr size_t kMinPipelinedBytes = 1024;
+/// Retry-After for a client whose incomplete request had to go.
+constexpr std::chrono::seconds kGiveUpRetryAfter{1};
 /// How long a connection waits for the client to close after the last response.
 constexpr Duration kLingerTimeout = std::chrono::seconds(2);
 /// How long an idle connection still accepts a request after StopAccepting().
@@ -44,10 +47,11 @@
 
 }  // namespace
 
-void Server::Impl::Connection::StartReading() {
+void Server::Impl::Connection::Start() {
   ErrorCode ec;
   socket_.non_blocking(true, ec);
   socket_.set_option(Tcp::no_delay(true), ec);
+  id_ = owner_.budget().Add(MonotonicClock::now(), [this] { GiveUp(); });
   PrepareForRequest();
   Read();
 }
@@ -60,6 +64,7 @@
   parser_->body_limit(owner_.settings_.max_body_bytes);
   request_started_ = false;
   header_processed_ = false;
+  header_bytes_ = 0;
   deadline_ = MonotonicClock::now() +
               (stopping_ ? kStopGracePeriod : owner_.settings_.idle_timeout);
 }
@@ -69,36 +74,51 @@
     OnInputEnd();
     return;
   }
-  if (read_pending_) {
+  if (read_wait_pending_) {
     return;
   }
-  const bool is_ahead = state_ != State::kReading && buffer_.size() > 0;
-  if (is_ahead && buffer_.size() >= kMaxPipelinedBytes) {
+  if (MaxReadBytes() == 0) {
     WaitForReset();
     return;
   }
-  read_pending_ = true;
-  const auto on_read = [self = shared_from_this()](const ErrorCode& ec,
-                                                   size_t n) {
-    self->OnRead(ec, n);
-  };
-  if (is_ahead) {
-    ahead_.resize(kHeaderReadBytes);
-    socket_.async_read_some(asio::buffer(ahead_), on_read);
-    return;
+  read_wait_pending_ = true;
+  socket_.async_wait(Tcp::socket::wait_read,
+                     [self = shared_from_this()](const ErrorCode& ec) {
+                       self->OnReadable(ec);
+                     });
+}
+
+size_t Server::Impl::Connection::MaxReadBytes() const {
+  if (state_ == State::kReading || state_ == State::kLingering) {
+    return kReadBytes;
   }
-  const bool in_body =
-      state_ == State::kReading && parser_ && parser_->is_header_done();
-  socket_.async_read_some(
-      buffer_.prepare(in_body ? kBodyReadBytes : kHeaderReadBytes), on_read);
+  const size_t limit =
+      owner_.budget().MayReadAhead() ? kMaxPipelinedBytes : kMinPipelinedBytes;
+  return std::min(kReadBytes, limit - std::min(limit, buffer_.size()));
 }
 
-void Server::Impl::Connection::OnRead(const ErrorCode& ec, size_t n) {
-  read_pending_ = false;
-  const std::vector<char> ahead = std::exchange(ahead_, {});
+void Server::Impl::Connection::OnReadable(const ErrorCode& ec) {
+  read_wait_pending_ = false;
   if (state_ == State::kClosed) {
     return;
   }
+  ErrorCode read_ec = ec;
+  size_t n = 0;
+  // The budget may have become short since the wait began.
+  if (const size_t max = MaxReadBytes(); !ec && max > 0) {
+    n = socket_.read_some(asio::buffer(owner_.read_buffer_.data(), max),
+                          read_ec);
+  }
+  if (read_ec != asio::error::would_block) {
+    OnRead(read_ec, n);
+    UpdateHolding();
+    owner_.budget().Relieve(MonotonicClock::now());
+    return;
+  }
+  Read();
+}
+
+void Server::Impl::Connection::OnRead(const ErrorCode& ec, size_t n) {
   if (ec == asio::error::eof && state_ != State::kLingering) {
     OnInputEnd();
     return;
@@ -111,12 +131,54 @@
     Read();
     return;
   }
-  buffer_.commit(ahead.empty() ? n
-                               : asio::buffer_copy(buffer_.prepare(n),
-                                                   asio::buffer(ahead, n)));
+  buffer_.commit(asio::buffer_copy(
+      buffer_.prepare(n), asio::buffer(owner_.read_buffer_.data(), n)));
   ParseBuffered();
 }
 
+core::policy::ClientActivity Server::Impl::Connection::Activity() const {
+  switch (state_) {
+    case State::kReading:
+      return request_started_ ? ClientActivity::kReceiving
+                              : ClientActivity::kIdle;
+    case State::kHandling:
+      return ClientActivity::kWaiting;
+    case State::kWriting:
+      return ClientActivity::kSending;
+    default:
+      return ClientActivity::kClosing;
+  }
+}
+
+size_t Server::Impl::Connection::HeldBytes() const {
+  size_t bytes = buffer_.capacity() + head_.capacity() + response_.body.size();
+  if (parser_ && request_started_) {
+    bytes += header_bytes_ + parser_->get().body().capacity();
+  }
+  return bytes;
+}
+
+void Server::Impl::Connection::UpdateHolding() {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  if (buffer_.size() == 0) {
+    buffer_.shrink_to_fit();
+  }
+  owner_.budget().Update(MonotonicClock::now(), id_, Activity(), HeldBytes());
+}
+
+void Server::Impl::Connection::GiveUp() {
+  if (state_ == State::kReading && request_started_) {
+    Response response = MakeErrorResponse(503, "out_of_memory");
+    AddRetryAfter(kGiveUpRetryAfter, response);
+    RejectRequest(std::move(response));
+    UpdateHolding();
+    return;
+  }
+  Close();
+}
+
 void Server::Impl::Connection::WaitForReset() {
   if (std::exchange(reset_wait_pending_, true)) {
     return;
@@ -148,6 +210,7 @@
   }
   parsing_ = false;
   if (state_ != State::kClosed) {
+    UpdateHolding();
     Read();
   }
 }
@@ -164,8 +227,10 @@
     return false;
   }
   ErrorCode ec;
+  const bool in_header = !parser_->is_header_done();
   const size_t n = parser_->put(buffer_.data(), ec);
   buffer_.consume(n);
+  header_bytes_ += in_header ? n : 0;
   if (ec && ec != beast::http::error::need_more) {
     RejectRequest(MakeParseErrorResponse(ec));
     return false;
@@ -224,6 +289,8 @@
   keep_alive_ = parser_->get().keep_alive();
   is_head_request_ = parser_->get().method() == beast::http::verb::head;
   Request request = ConvertRequest(parser_->release(), request_number_);
+  parser_.reset();
+  UpdateHolding();
   if (owner_.shut_down_) {
     Close();
     return;
@@ -252,6 +319,7 @@
 
 void Server::Impl::Connection::SendResponse(Response response) {
   state_ = State::kWriting;
+  parser_.reset();
   if (response.status == kNoResponse) {
     Close();
     return;
@@ -305,6 +373,7 @@
 
 void Server::Impl::Connection::OnResponseSent() {
   response_ = Response();
+  head_ = {};
   if (keep_alive_) {
     PrepareForRequest();
   } else {
--- a/filbertwick/http/server_impl.h
+++ b/filbertwick/http/server_impl.h
@@ -14,7 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_set>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -35,7 +35,12 @@
         deadline_check_timer_(context),
         settings_(std::move(settings)),
         handler_(std::move(handler)),
-        on_disconnect_(std::move(on_disconnect)) {}
+        on_disconnect_(std::move(on_disconnect)) {
+    if (!settings_.budget) {
+      settings_.budget =
+          ClientBudget::Create(ServerSettings::kDefaultBudgetBytes);
+    }
+  }
 
   absl::Status Listen();
   void StartAccepting();
@@ -58,9 +63,15 @@
 
  private:
   class Connection;
+  using ClientActivity = core::policy::ClientActivity;
+  using ClientBudget = core::policy::ClientBudget;
   using Tcp = boost::asio::ip::tcp;
   using ErrorCode = boost::system::error_code;
 
+  /// Most bytes of one read. Also bounds the time that a busy connection takes
+  /// from the others.
+  static constexpr size_t kReadBytes = 16 * 1024;
+
   void Accept();
   void OnAccept(const ErrorCode& ec, Tcp::socket socket);
   /// Starts the timer for CheckDeadlines() unless it is running.
@@ -69,6 +80,7 @@
   /// had failed.
   void CheckDeadlines();
   void Remove(const std::shared_ptr<Connection>& connection);
+  ClientBudget& budget() { return *settings_.budget; }
 
   boost::asio::io_context& context_;
   Tcp::acceptor acceptor_;
@@ -76,7 +88,11 @@
   ServerSettings settings_;
   const Handler handler_;
   const DisconnectHook on_disconnect_;
-  std::unordered_set<std::shared_ptr<Connection>> connections_;
+  /// By id in the budget.
+  std::unordered_map<uint64_t, std::shared_ptr<Connection>> connections_;
+  /// Target of every read, so that a connection that waits for bytes needs no
+  /// buffer of its own.
+  std::vector<char> read_buffer_ = std::vector<char>(kReadBytes);
   /// Size of connections_, readable from any thread.
   std::atomic<size_t> open_connections_ = 0;
   /// Set by Shutdown(); neither handler nor disconnect hook may run any more.
@@ -89,16 +105,19 @@
   bool deadline_check_scheduled_ = false;
 };
 
-/// A connection from a client. Handles one request at a time. A read is pending
-/// at all times, so that a close by the client is noticed. While buffer_ is
-/// full with bytes of further requests, only a reset is noticed.
+/// A connection from a client. Handles one request at a time. It waits for
+/// bytes at all times, so that a close by the client is noticed. While as many
+/// bytes of further requests are buffered as may be, only a reset is noticed.
 class Server::Impl::Connection
     : public std::enable_shared_from_this<Connection> {
  public:
   Connection(Impl& owner, Tcp::socket socket)
       : owner_(owner), socket_(std::move(socket)) {}
 
-  void StartReading();
+  /// Registers the connection in the budget, and waits for requests.
+  void Start();
+  /// Id of the connection in the budget.
+  uint64_t id() const { return id_; }
   /// Sends the response to the request being handled. Does nothing if
   /// `number` is not that request.
   void Respond(uint64_t number, Response response);
@@ -126,8 +145,19 @@
     kClosed,
   };
 
+  /// Waits for bytes unless as many are buffered as may be.
   void Read();
+  void OnReadable(const ErrorCode& ec);
   void OnRead(const ErrorCode& ec, size_t n);
+  /// Returns how many bytes may be read now.
+  size_t MaxReadBytes() const;
+  /// Ends an incomplete request with 503, and the connection in any other
+  /// state, because the budget has no room for what it holds.
+  void GiveUp();
+  /// Tells the budget what the connection holds.
+  void UpdateHolding();
+  ClientActivity Activity() const;
+  size_t HeldBytes() const;
   /// Closes the connection when it is reset, without reading.
   void WaitForReset();
   /// Handles the end of the client's sending side.
@@ -173,11 +203,8 @@
   /// Status line and header section of the response.
   std::string head_;
   Response response_;
-  /// Target of a read while buffer_ holds bytes of further requests: parsing
-  /// them may move buffer_, so a pending read must not write to it. Empty
-  /// otherwise.
-  std::vector<char> ahead_;
-  bool read_pending_ = false;
+  uint64_t id_ = 0;
+  bool read_wait_pending_ = false;
   bool reset_wait_pending_ = false;
   /// The client has closed its sending side; the complete requests in buffer_
   /// are still answered.
@@ -188,6 +215,8 @@
   /// At least one byte of the current request has arrived.
   bool request_started_ = false;
   bool header_processed_ = false;
+  /// Bytes of the header section that the parser has taken.
+  size_t header_bytes_ = 0;
   /// The request method is HEAD: the response is sent without its body.
   bool is_head_request_ = false;
   bool keep_alive_ = true;
--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -44,13 +44,13 @@
 /// Limit of connections from callers. Stays below the limit of file descriptors
 /// on the smallest machine.
 constexpr size_t kMaxConnections = 3000;
-/// Bounds of the header limit in the configuration. All connections may hold a
-/// header of the largest size in memory at once.
+/// Bounds of the header limit in the configuration.
 constexpr uint32_t kMinHeaderBytes = 1024;
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
-/// Limit of a request's body, whatever the configuration says. Sized for one
-/// such body in memory at a time.
+/// Limit of a request's body, whatever the configuration says.
 constexpr size_t kMaxBodyBytes = 4 * 1024 * 1024;
+/// The same for polls of the readiness, which have none.
+constexpr size_t kMaxPollBodyBytes = 4 * 1024;
 /// Lower bound of the timeouts in the configuration. A shorter timeout would
 /// cut off callers on a loaded link.
 constexpr Duration kMinTimeout = std::chrono::milliseconds(100);
@@ -221,6 +221,7 @@
     http.port = settings_.caller_listener.port;
     http.max_body_bytes = kMaxBodyBytes;
     http.max_connections = kMaxConnections;
+    http.budget = context_.client_budget;
     auto callers = http::Server::Create(
         context_.io, http,
         [this](const http::Request& request, const http::Responder& respond) {
@@ -233,6 +234,7 @@
     caller_server_ = *std::move(callers);
     http.host = settings_.readiness_listener.host;
     http.port = settings_.readiness_listener.port;
+    http.max_body_bytes = kMaxPollBodyBytes;
     auto readiness = http::Server::Create(
         context_.io, http,
         [this](const http::Request&, const http::Responder& respond) {
--- a/filbertwick/platform/node.h
+++ b/filbertwick/platform/node.h
@@ -10,6 +10,7 @@
 
 #include "filbertwick/base/counters.h"
 #include "filbertwick/base/log_line.h"
+#include "filbertwick/core/policy/client_budget.h"
 #include "filbertwick/platform/platform_settings.h"
 
 namespace filbertwick::platform {
@@ -21,6 +22,9 @@
   std::function<void(const LogLine&)> log;
   /// Called once, when the graceful stop is complete or its time is over.
   std::function<void()> stopped;
+  /// Bounds what the listeners of the process hold for clients. Set by
+  /// StartNode().
+  std::shared_ptr<core::policy::ClientBudget> client_budget = nullptr;
 };
 
 /// An entry or a sidecar on the platform. It connects a deterministic core
--- a/filbertwick/platform/peer_service.cc
+++ b/filbertwick/platform/peer_service.cc
@@ -34,6 +34,8 @@
 /// Longest usual time from a read at the store until its response is handled.
 constexpr Duration kReadDelay = std::chrono::milliseconds(100);
 constexpr Duration kRegisterRetryDelay = std::chrono::milliseconds(500);
+/// Limit of a request's body. The requests to these listeners have none.
+constexpr size_t kMaxBodyBytes = 4 * 1024;
 /// Port for collectors of metrics. deploy/system.toml names the same port.
 constexpr uint16_t kMetricsPort = 9464;
 
@@ -110,6 +112,8 @@
   absl::StatusOr<std::unique_ptr<http::Server>> ListenAt(
       const Address& address) {
     http::ServerSettings http;
+    http.max_body_bytes = kMaxBodyBytes;
+    http.budget = context_.client_budget;
     http.host = address.host;
     http.port = address.port;
     return http::Server::Create(
--- a/filbertwick/platform/platform_settings.cc
+++ b/filbertwick/platform/platform_settings.cc
@@ -105,9 +105,17 @@
   }
 }
 
-/// Reads what the machine has. Values that are missing or make no sense are
-/// left unknown, and the load is not shared by them.
-void ReadMeans(const json::object& object, PlatformSettings& settings) {
+/// A whole number above zero.
+std::optional<size_t> FindCount(const json::object& object,
+                                std::string_view name) {
+  const auto count = FindInteger(object, name);
+  return count && *count > 0 ? std::optional(static_cast<size_t>(*count))
+                             : std::nullopt;
+}
+
+/// Reads what the machine has. Means that are missing or make no sense are left
+/// unknown, and the load is not shared by them; such limits keep their default.
+void ReadLimits(const json::object& object, PlatformSettings& settings) {
   const json::object* limits = FindObject(object, "limits");
   if (limits == nullptr) {
     return;
@@ -125,6 +133,8 @@
   }
   settings.means.link_kbytes_per_second =
       scale(FindNumber(*limits, "link-mbps"), kKbytesPerMbit);
+  settings.limits.memory_mb =
+      FindCount(*limits, "memory-mb").value_or(settings.limits.memory_mb);
 }
 
 void ReadStore(Reader& reader, PlatformSettings& settings) {
@@ -171,7 +181,7 @@
     }
   }
   ReadBounds(*object, settings);
-  ReadMeans(*object, settings);
+  ReadLimits(*object, settings);
   if (!reader.status().ok()) {
     return reader.status();
   }
--- a/filbertwick/platform/platform_settings.h
+++ b/filbertwick/platform/platform_settings.h
@@ -11,6 +11,7 @@
 #include "filbertwick/base/name.h"
 #include "filbertwick/base/time.h"
 #include "filbertwick/core/direct/entry_load.h"
+#include "filbertwick/platform/client_limits.h"
 
 namespace filbertwick::platform {
 
@@ -66,6 +67,8 @@
   /// (`limits`.`cpu-share`) of the cores (`limits`.`cores`), each 1 when only
   /// the other is given, and the bandwidth (`limits`.`link-mbps`).
   core::direct::EntryMeans means;
+  /// What the platform lets this process use (`limits`).
+  ProcessLimits limits;
   /// Time between SIGTERM and SIGKILL (`bounds`.`grace-s`).
   Duration stop_grace = std::chrono::seconds(6);
 };
--- a/filbertwick/platform/sidecar_node.cc
+++ b/filbertwick/platform/sidecar_node.cc
@@ -97,6 +97,7 @@
     http.host = settings_.announcement_listener.host;
     http.port = settings_.announcement_listener.port;
     http.max_body_bytes = kMaxAnnouncementBytes;
+    http.budget = context_.client_budget;
     auto server = http::Server::Create(
         context_.io, http,
         [this](const http::Request& request, const http::Responder& respond) {
--- a/unit_tests/http_server_test.cc
+++ b/unit_tests/http_server_test.cc
@@ -393,6 +393,37 @@
   cr_assert_eq(server.server->open_connections(), 1);
 }
 
+// Each request was within the limits, but all together were held without any.
+Test(http_server, large_unfinished_requests_give_way_when_memory_is_short) {
+  constexpr size_t kBodyBytes = 200'000;
+  ServerSettings settings;
+  settings.budget =
+      filbertwick::core::policy::ClientBudget::Create(4 * kBodyBytes);
+  EchoServer server(settings);
+  std::vector<std::unique_ptr<RawConnection>> crowd;
+  for (int n = 0; n < 20; ++n) {
+    crowd.push_back(std::make_unique<RawConnection>(server.port()));
+    crowd.back()->Send(
+        "PUT / HTTP/1.1\r\nContent-Length: " + std::to_string(kBodyBytes) +
+        "\r\n\r\n" + std::string(kBodyBytes - 1, 'x'));
+    cr_assert(server.AnswersRequests());
+    server.loop.Run([&] {
+      cr_assert_leq(settings.budget->used_bytes(),
+                    settings.budget->max_bytes());
+    });
+  }
+  cr_assert_gt(settings.budget->closed(), 0);
+  // The oldest is refused, with a promise that it has not run.
+  crowd.front()->ShutdownSend();
+  const std::string bytes = crowd.front()->ReadAll();
+  cr_assert(StartsWithStatus(bytes, 503), "%s", bytes.c_str());
+  cr_assert(bytes.find("Retry-After: 1") != std::string::npos);
+  cr_assert(bytes.find("\"not_run\":true") != std::string::npos);
+  // The newest is still held, and is answered when it is complete.
+  crowd.back()->Send("x");
+  cr_assert_eq(crowd.back()->Read(12), "HTTP/1.1 200");
+}
+
 Test(http_server, stop_accepting_lets_the_open_request_finish) {
   std::promise<Responder> handled;
   EchoServer server({}, [&](const Request&, Responder respond) {
