Make room for callers at the door, within the descriptors of the machine

Callers could not connect while a crowd held connections open without sending a whole request: connections beyond 3,000 or 4,096 at each listener were closed at once, whoever made them, and as `max-fds` was not read, accepts could fail before that number was reached.

The numbers follow from `max-fds` now, and at the limit a 64th of the connections is closed: first those that are closing anyway, that never brought a request, or that are idle, the oldest first; never those that wait for an answer, unless all do: then the new one is closed, as before.

Servers without such settings, as filbertwickd's, accept 3,000 instead of 4,096, which is within the descriptors of the users' machines.

--- a/filbertwick/core/policy/client_budget.cc
+++ b/filbertwick/core/policy/client_budget.cc
@@ -19,6 +19,17 @@
          std::chrono::duration<double>(held).count();
 }
 
+/// Connections with a lower rank are closed first to free a connection.
+int ConnectionRank(const ClientHolding& holding) {
+  if (holding.activity == ClientActivity::kClosing) {
+    return 0;
+  }
+  if (!holding.has_brought_request) {
+    return 1;
+  }
+  return holding.activity == ClientActivity::kIdle ? 2 : 3;
+}
+
 bool MayClose(const ClientHolding& holding) {
   return holding.activity != ClientActivity::kWaiting;
 }
@@ -49,6 +60,22 @@
   return chosen;
 }
 
+std::vector<uint64_t> ChooseToFreeConnections(
+    std::span<const ClientHolding> holdings,
+    size_t count) {
+  std::vector<std::tuple<int, Instant, uint64_t>> ranked;
+  for (const ClientHolding& it : holdings | std::views::filter(MayClose)) {
+    ranked.emplace_back(ConnectionRank(it), it.since, it.id);
+  }
+  const auto end =
+      ranked.begin() + static_cast<ptrdiff_t>(std::min(count, ranked.size()));
+  std::ranges::partial_sort(ranked, end);
+  std::vector<uint64_t> chosen;
+  std::transform(ranked.begin(), end, std::back_inserter(chosen),
+                 [](const auto& it) { return std::get<uint64_t>(it); });
+  return chosen;
+}
+
 std::shared_ptr<ClientBudget> ClientBudget::Create(size_t max_bytes,
                                                    ClosedHook on_closed) {
   return std::shared_ptr<ClientBudget>(
--- a/filbertwick/core/policy/client_budget.h
+++ b/filbertwick/core/policy/client_budget.h
@@ -50,6 +50,15 @@
                                         size_t bytes,
                                         Instant now);
 
+/// Returns at most `count` connections to close so that others can be accepted.
+/// The load is a crowd of clients that open connections and send nothing, or
+/// next to nothing: connections that are closing anyway go first, then those
+/// that never brought a request, then idle ones, and among these the oldest.
+/// Connections that wait for an answer are not closed.
+std::vector<uint64_t> ChooseToFreeConnections(
+    std::span<const ClientHolding> holdings,
+    size_t count);
+
 /// The memory that a process holds because of clients, over all its listeners:
 /// parts of requests, requests in progress and answers. Several servers share
 /// one budget. Not thread-safe.
--- a/filbertwick/http/server.cc
+++ b/filbertwick/http/server.cc
@@ -19,6 +19,9 @@
 using Tcp = asio::ip::tcp;
 
 constexpr int kAcceptBacklog = 1024;
+/// Share of the connections that is closed together when their limit is
+/// reached, so that they need not all be compared for each new one.
+constexpr size_t kClosedShare = 64;
 /// Deadlines are checked every eighth of the shortest timeout, within these
 /// bounds.
 constexpr Duration kMinDeadlineCheckInterval = std::chrono::milliseconds(5);
@@ -73,6 +76,7 @@
     ScheduleDeadlineCheck();
     return;
   }
+  MakeRoomForConnection();
   if (connections_.size() < settings_.max_connections) {
     const auto connection =
         std::make_shared<Connection>(*this, std::move(socket));
@@ -84,6 +88,21 @@
   Accept();
 }
 
+void Server::Impl::MakeRoomForConnection() {
+  if (connections_.size() < settings_.max_connections) {
+    return;
+  }
+  std::vector<core::policy::ClientHolding> holdings;
+  std::ranges::transform(connections_ | std::views::keys,
+                         std::back_inserter(holdings),
+                         [this](uint64_t id) { return budget().holding(id); });
+  for (const uint64_t id : core::policy::ChooseToFreeConnections(
+           holdings, settings_.max_connections / kClosedShare + 1)) {
+    const auto connection = connections_.at(id);
+    connection->Close();
+  }
+}
+
 void Server::Impl::ScheduleDeadlineCheck() {
   if (std::exchange(deadline_check_scheduled_, true)) {
     return;
--- a/filbertwick/http/server.h
+++ b/filbertwick/http/server.h
@@ -39,8 +39,10 @@
   std::string host = "127.0.0.1";
   /// TCP port; with 0 the operating system chooses one, see Server::port().
   uint16_t port = 0;
-  /// Connections accepted beyond this number are closed immediately.
-  size_t max_connections = 4096;
+  /// When a connection is accepted beyond this number, some of the others are
+  /// closed; see core::policy::ChooseToFreeConnections(). If all of them wait
+  /// for answers, the new one is.
+  size_t max_connections = 3000;
   /// Bounds the memory held for clients. Servers of one io_context may share
   /// it; without one, the server has a budget of kDefaultBudgetBytes. A client
   /// whose request must go before it is complete is answered with 503.
--- a/filbertwick/http/server_impl.h
+++ b/filbertwick/http/server_impl.h
@@ -79,6 +79,8 @@
   /// Checks the deadlines of all connections, and accepts again if accepting
   /// had failed.
   void CheckDeadlines();
+  /// Closes connections if the limit of their number is reached.
+  void MakeRoomForConnection();
   void Remove(const std::shared_ptr<Connection>& connection);
   ClientBudget& budget() { return *settings_.budget; }
 
--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -41,9 +41,6 @@
 /// Time for which requests are still accepted after a stop began. The load
 /// balancer polls readiness every second and reacts to the second failed poll.
 constexpr Duration kMinDrainTime = std::chrono::milliseconds(2500);
-/// Limit of connections from callers. Stays below the limit of file descriptors
-/// on the smallest machine.
-constexpr size_t kMaxConnections = 3000;
 /// Bounds of the header limit in the configuration.
 constexpr uint32_t kMinHeaderBytes = 1024;
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
@@ -216,11 +213,12 @@
   const DirectEntry& core() const { return runner_.core(); }
 
   absl::Status Listen() {
+    const ClientLimits limits = DeriveClientLimits(settings_.limits);
     http::ServerSettings http;
     http.host = settings_.caller_listener.host;
     http.port = settings_.caller_listener.port;
     http.max_body_bytes = kMaxBodyBytes;
-    http.max_connections = kMaxConnections;
+    http.max_connections = limits.caller_connections;
     http.budget = context_.client_budget;
     auto callers = http::Server::Create(
         context_.io, http,
@@ -235,6 +233,7 @@
     http.host = settings_.readiness_listener.host;
     http.port = settings_.readiness_listener.port;
     http.max_body_bytes = kMaxPollBodyBytes;
+    http.max_connections = limits.other_connections;
     auto readiness = http::Server::Create(
         context_.io, http,
         [this](const http::Request&, const http::Responder& respond) {
--- a/filbertwick/platform/peer_service.cc
+++ b/filbertwick/platform/peer_service.cc
@@ -93,14 +93,17 @@
 
  private:
   absl::Status Listen(const PlatformSettings& settings) {
-    auto server = ListenAt({settings.host, settings.peer_port});
+    const ClientLimits limits = DeriveClientLimits(settings.limits);
+    auto server = ListenAt({settings.host, settings.peer_port},
+                           limits.instance_connections);
     if (!server.ok()) {
       return server.status();
     }
     peer_server_ = *std::move(server);
     // The same pages on the port that collectors of metrics use. A failure is
     // only logged, because jobs run without the metrics.
-    auto metrics = ListenAt({settings.host, kMetricsPort});
+    auto metrics =
+        ListenAt({settings.host, kMetricsPort}, limits.other_connections);
     if (!metrics.ok()) {
       context_.log(LogLine("metrics_not_served").AddCause(metrics.status()));
       return absl::OkStatus();
@@ -110,9 +113,11 @@
   }
 
   absl::StatusOr<std::unique_ptr<http::Server>> ListenAt(
-      const Address& address) {
+      const Address& address,
+      size_t max_connections) {
     http::ServerSettings http;
     http.max_body_bytes = kMaxBodyBytes;
+    http.max_connections = max_connections;
     http.budget = context_.client_budget;
     http.host = address.host;
     http.port = address.port;
--- a/filbertwick/platform/platform_settings.cc
+++ b/filbertwick/platform/platform_settings.cc
@@ -135,6 +135,8 @@
       scale(FindNumber(*limits, "link-mbps"), kKbytesPerMbit);
   settings.limits.memory_mb =
       FindCount(*limits, "memory-mb").value_or(settings.limits.memory_mb);
+  settings.limits.max_descriptors =
+      FindCount(*limits, "max-fds").value_or(settings.limits.max_descriptors);
 }
 
 void ReadStore(Reader& reader, PlatformSettings& settings) {
--- a/filbertwick/platform/sidecar_node.cc
+++ b/filbertwick/platform/sidecar_node.cc
@@ -97,6 +97,8 @@
     http.host = settings_.announcement_listener.host;
     http.port = settings_.announcement_listener.port;
     http.max_body_bytes = kMaxAnnouncementBytes;
+    const ClientLimits limits = DeriveClientLimits(settings_.limits);
+    http.max_connections = limits.other_connections;
     http.budget = context_.client_budget;
     auto server = http::Server::Create(
         context_.io, http,
--- a/unit_tests/client_budget_test.cc
+++ b/unit_tests/client_budget_test.cc
@@ -11,6 +11,7 @@
 using filbertwick::Duration;
 using filbertwick::Instant;
 using filbertwick::core::policy::ChooseToFreeBytes;
+using filbertwick::core::policy::ChooseToFreeConnections;
 using filbertwick::core::policy::ClientActivity;
 using filbertwick::core::policy::ClientBudget;
 using filbertwick::core::policy::ClientHolding;
@@ -73,6 +74,22 @@
   cr_assert(ChooseToFreeBytes(holdings, 96 * kKilobyte, kStart) == Ids{2});
 }
 
+// A crowd opens connections and sends nothing, beside callers that keep theirs
+// open between requests and callers whose jobs run.
+Test(client_budget, frees_connections_that_brought_no_request_first) {
+  std::vector<ClientHolding> holdings = {
+      Holding(1, ClientActivity::kIdle, 0, 50 * kSecond),
+      Holding(2, ClientActivity::kIdle, 0, 9 * kSecond),
+      Holding(3, ClientActivity::kReceiving, kKilobyte, 10 * kSecond),
+      Holding(4, ClientActivity::kWaiting, 0, 60 * kSecond),
+      Holding(5, ClientActivity::kClosing, 0, kSecond),
+  };
+  holdings[0].has_brought_request = true;
+  cr_assert(ChooseToFreeConnections(holdings, 1) == Ids{5});
+  cr_assert(ChooseToFreeConnections(holdings, 3) == (Ids{5, 3, 2}));
+  cr_assert(ChooseToFreeConnections(holdings, 9) == (Ids{5, 3, 2, 1}));
+}
+
 Test(client_budget, closes_holders_until_an_eighth_is_free) {
   const auto budget = ClientBudget::Create(800);
   Ids closed;
