Bound the kernel's buffers of connections from clients

A process could exceed the memory of its machine, and be killed with all requests in progress, by bytes that it had received and not read: the kernel raises the buffers of a connection to some megabytes, and a connection is not read from while its client takes no answer or waits for one.

The sizes are set at the listening sockets: a third of what `memory-mb` leaves besides the process itself, divided by the connections. Small bodies fit into one such buffer; larger ones take a round trip for each.

--- a/filbertwick/http/server.cc
+++ b/filbertwick/http/server.cc
@@ -41,6 +41,14 @@
   if (!ec) {
     acceptor_.set_option(Tcp::acceptor::reuse_address(true), ec);
   }
+  if (!ec && settings_.socket_buffer_bytes > 0) {
+    // Connections inherit the sizes, before they are accepted. Where they can't
+    // be set, those of the operating system hold.
+    const int bytes = static_cast<int>(settings_.socket_buffer_bytes);
+    ErrorCode ignored;
+    acceptor_.set_option(Tcp::acceptor::receive_buffer_size(bytes), ignored);
+    acceptor_.set_option(Tcp::acceptor::send_buffer_size(bytes), ignored);
+  }
   if (!ec) {
     acceptor_.bind(endpoint, ec);
   }
--- a/filbertwick/http/server.h
+++ b/filbertwick/http/server.h
@@ -43,6 +43,9 @@
   /// closed; see core::policy::ChooseToFreeConnections(). If all of them wait
   /// for answers, the new one is.
   size_t max_connections = 3000;
+  /// Receive and send buffer of each connection in the kernel, as set by
+  /// setsockopt(2); 0 leaves them to the operating system.
+  size_t socket_buffer_bytes = 0;
   /// Bounds the memory held for clients. Servers of one io_context may share
   /// it; without one, the server has a budget of kDefaultBudgetBytes. A client
   /// whose request must go before it is complete is answered with 503.
--- a/filbertwick/platform/client_limits.cc
+++ b/filbertwick/platform/client_limits.cc
@@ -16,6 +16,10 @@
 constexpr size_t kMinConnections = 16;
 /// Most connections from callers, however many descriptors there are.
 constexpr size_t kMaxCallerConnections = 3000;
+/// The kernel doubles a buffer size that is set, for its own bookkeeping.
+constexpr size_t kKernelFactor = 2;
+constexpr size_t kMinSocketBufferBytes = 4 * 1024;
+constexpr size_t kMaxSocketBufferBytes = 64 * 1024;
 
 }  // namespace
 
@@ -37,9 +41,14 @@
       std::clamp(std::max(sockets, not_callers) - not_callers, kMinConnections,
                  kMaxCallerConnections);
 
+  const size_t kernel_bytes = client_bytes / 3;
+  const size_t connections = derived.caller_connections + not_callers;
+  derived.socket_buffer_bytes =
+      std::clamp(kernel_bytes / connections / kKernelFactor,
+                 kMinSocketBufferBytes, kMaxSocketBufferBytes);
   // Strings grow by doubling and the allocator keeps some of what is freed, so
   // half as much again is used.
-  derived.held_bytes = client_bytes / 3 * 2;
+  derived.held_bytes = (client_bytes - kernel_bytes) / 3 * 2;
   return derived;
 }
 
--- a/filbertwick/platform/client_limits.h
+++ b/filbertwick/platform/client_limits.h
@@ -18,6 +18,8 @@
 struct ClientLimits {
   /// Limit of core::policy::ClientBudget.
   size_t held_bytes = 0;
+  /// Receive and send buffer of each connection in the kernel.
+  size_t socket_buffer_bytes = 0;
   /// Connections from callers.
   size_t caller_connections = 0;
   /// Connections from other instances.
@@ -28,8 +30,8 @@
 };
 
 /// Divides the limits of a process. A quarter of the memory and 16 MB are its
-/// own; two thirds of the rest are for the client budget, which counts without
-/// what the allocator adds.
+/// own; of the rest, a third is for unread bytes in the kernel and two thirds
+/// are for the client budget, which counts without what the allocator adds.
 ClientLimits DeriveClientLimits(const ProcessLimits& limits);
 
 }  // namespace filbertwick::platform
--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -219,6 +219,7 @@
     http.port = settings_.caller_listener.port;
     http.max_body_bytes = kMaxBodyBytes;
     http.max_connections = limits.caller_connections;
+    http.socket_buffer_bytes = limits.socket_buffer_bytes;
     http.budget = context_.client_budget;
     auto callers = http::Server::Create(
         context_.io, http,
--- a/filbertwick/platform/peer_service.cc
+++ b/filbertwick/platform/peer_service.cc
@@ -94,8 +94,9 @@
  private:
   absl::Status Listen(const PlatformSettings& settings) {
     const ClientLimits limits = DeriveClientLimits(settings.limits);
-    auto server = ListenAt({settings.host, settings.peer_port},
-                           limits.instance_connections);
+    auto server =
+        ListenAt({settings.host, settings.peer_port},
+                 limits.instance_connections, limits.socket_buffer_bytes);
     if (!server.ok()) {
       return server.status();
     }
@@ -103,7 +104,8 @@
     // The same pages on the port that collectors of metrics use. A failure is
     // only logged, because jobs run without the metrics.
     auto metrics =
-        ListenAt({settings.host, kMetricsPort}, limits.other_connections);
+        ListenAt({settings.host, kMetricsPort}, limits.other_connections,
+                 limits.socket_buffer_bytes);
     if (!metrics.ok()) {
       context_.log(LogLine("metrics_not_served").AddCause(metrics.status()));
       return absl::OkStatus();
@@ -114,10 +116,12 @@
 
   absl::StatusOr<std::unique_ptr<http::Server>> ListenAt(
       const Address& address,
-      size_t max_connections) {
+      size_t max_connections,
+      size_t socket_buffer_bytes) {
     http::ServerSettings http;
     http.max_body_bytes = kMaxBodyBytes;
     http.max_connections = max_connections;
+    http.socket_buffer_bytes = socket_buffer_bytes;
     http.budget = context_.client_budget;
     http.host = address.host;
     http.port = address.port;
--- a/filbertwick/platform/sidecar_node.cc
+++ b/filbertwick/platform/sidecar_node.cc
@@ -99,6 +99,7 @@
     http.max_body_bytes = kMaxAnnouncementBytes;
     const ClientLimits limits = DeriveClientLimits(settings_.limits);
     http.max_connections = limits.other_connections;
+    http.socket_buffer_bytes = limits.socket_buffer_bytes;
     http.budget = context_.client_budget;
     auto server = http::Server::Create(
         context_.io, http,
