Apply the configuration's body limit while a body is read

A body above `max-body-bytes` was read and held up to the 4 MiB of the code, and only then answered with 413, so a crowd held sixteen times of what the configuration allows. The server's limits were also those of the time at which the connection began to wait for the request, not of its first byte.

The entry hands the configured limit to its server, and the server applies the limits in force when the first byte of a request arrives. The answer is 413 as before, now as soon as the limit is passed or announced; the connection ends then. Submit() keeps its check for requests that had begun before a change.

--- a/filbertwick/http/server.h
+++ b/filbertwick/http/server.h
@@ -87,10 +87,10 @@
   /// Returns the TCP port on which the server listens.
   uint16_t port() const;
 
-  /// Replaces the limits. The header and read timeouts apply to requests whose
-  /// first byte arrives from now on. A connection that already waits for a
-  /// request keeps its size limits and idle timeout until it has answered that
-  /// request. Must be called on the thread of the io_context.
+  /// Replaces the limits. They apply to requests whose first byte arrives from
+  /// now on; a connection that already waits for a request keeps its idle
+  /// timeout until it has answered that request. Must be called on the thread
+  /// of the io_context.
   void SetLimits(const RequestLimits& limits);
 
   /// Stops accepting connections. Requests in progress are still answered; then
--- a/filbertwick/http/server_connection.cc
+++ b/filbertwick/http/server_connection.cc
@@ -60,8 +60,6 @@
   state_ = State::kReading;
   parser_.emplace();
   parser_->eager(true);
-  parser_->header_limit(owner_.settings_.max_header_bytes);
-  parser_->body_limit(owner_.settings_.max_body_bytes);
   request_started_ = false;
   header_processed_ = false;
   header_bytes_ = 0;
@@ -219,6 +217,8 @@
   if (!request_started_) {
     request_started_ = true;
     const RequestLimits& limits = owner_.settings_;
+    parser_->header_limit(limits.max_header_bytes);
+    parser_->body_limit(limits.max_body_bytes);
     const Instant now = MonotonicClock::now();
     request_deadline_ = now + limits.read_timeout;
     deadline_ = now + std::min(limits.header_timeout, limits.read_timeout);
--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -121,9 +121,7 @@
   http::RequestLimits http;
   http.max_header_bytes =
       std::clamp(limits.max_header_bytes, kMinHeaderBytes, kMaxHeaderBytes);
-  // Submit() checks the configured limit after the body was read, so that the
-  // answer names the cause.
-  http.max_body_bytes = kMaxBodyBytes;
+  http.max_body_bytes = std::min(limits.max_body_bytes, kMaxBodyBytes);
   http.header_timeout = std::max(limits.header_timeout, kMinTimeout);
   http.idle_timeout = std::max(limits.idle_timeout, kMinTimeout);
   return http;
