Return large blocks to the system when they are freed

A crowd with chunked bodies made a process exceed its memory though its budget was kept: 67 and 72 MB resident where 14 were accounted and 64 allowed. Bodies grow by doubling, side by side; glibc raises the size from which it maps blocks when a mapped one is freed, up to 32 MB, and the heap that then holds all of them fragments.

The size is set to 64 KB at the start of a process, which also keeps it there, so that every larger block is returned when it is freed. Smaller ones, all of an ordinary job, are allocated as before.

--- a/filbertwick/daemon/main.cc
+++ b/filbertwick/daemon/main.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <utility>
 
+#include "filbertwick/base/allocator.h"
 #include "filbertwick/daemon/daemon.h"
 #include "filbertwick/daemon/settings.h"
 
@@ -97,6 +98,7 @@
 /// Runs the daemon until a graceful stop has ended or a second signal arrives;
 /// returns the exit code.
 int Run(Settings settings) {
+  filbertwick::ReturnLargeBlocksWhenFreed();
   boost::asio::io_context context(1);
   // Returned if a second signal stops `context` before the hook below has run.
   int code = kForced;
--- a/filbertwick/platform/process.cc
+++ b/filbertwick/platform/process.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "filbertwick/base/allocator.h"
 #include "filbertwick/base/counters.h"
 #include "filbertwick/base/event_log.h"
 #include "filbertwick/base/file.h"
@@ -146,6 +147,7 @@
 }  // namespace
 
 int RunProcess(const std::string& settings_path) {
+  ReturnLargeBlocksWhenFreed();
   auto loaded = LoadSettings(settings_path);
   return loaded ? PlatformProcess(settings_path, std::move(loaded->text),
                                   std::move(loaded->settings))
