Bound the memory of a job's parsed form

One body of 4 MB that holds two million numbers took the entry from 8 to 113 MB while it was parsed: a value needs 16 bytes besides its text of two, and the parser's stack of them doubles as it grows.

Jobs are parsed with at most 16 MB, in the value and in the stack together, and answered with 413 above that. A job of as many steps as it may have tasks, each of which names all earlier ones, fits; a test shows that.

The test of the limits derived from the settings is here as well.

--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -450,6 +450,9 @@
   /// Returns how long the caller waits, as its header states. Without the
   /// header, the longer of the route's limit and the time after which an answer
   /// is of no use, so that a nearly finished job is not dropped while its
+      if (absl::IsResourceExhausted(job.status())) {
+        return ErrorResponse(413, "body_too_large");
+      }
   /// caller still waits.
   static Duration TimeLimit(const http::Request& request,
                             const Route& route,
--- a/filbertwick/platform/job_codec.cc
+++ b/filbertwick/platform/job_codec.cc
@@ -28,6 +28,10 @@
 /// Maximum number of tasks of a job. The deployments plan for no larger jobs.
 constexpr int64_t kMaxTasks = 1000;
 
+/// Memory of the parsed form of a job. A job of as many steps as it may have
+/// tasks, each of which names all earlier ones in `after`, needs half of it.
+constexpr size_t kMaxParsedBytes = 16 * 1024 * 1024;
+
 /// Fields of a step or job that request features which are not implemented.
 constexpr std::string_view kUnsupportedFields[] = {
     "gang", "same-rack", "long-running", "fills", "saves-progress", "repeats"};
@@ -143,9 +147,9 @@
 }
 
 absl::StatusOr<JobRequest> ParseJob(std::string_view body, const Route& route) {
-  const auto object = ParseObject(body);
-  if (!object) {
-    return InvalidField("the body must be a JSON object");
+  const auto object = ParseBoundedObject(body, kMaxParsedBytes);
+  if (!object.ok()) {
+    return object.status();
   }
   // Callers leave out fields that are empty.
   const auto spec = object->contains("spec") ? FindString(*object, "spec")
--- a/filbertwick/platform/json_fields.cc
+++ b/filbertwick/platform/json_fields.cc
@@ -1,7 +1,13 @@
 #include "filbertwick/platform/json_fields.h"
 
+#include <fmt/format.h>
+
+#include <boost/json/memory_resource.hpp>
 #include <boost/json/parse.hpp>
+#include <boost/json/parser.hpp>
 #include <cmath>
+#include <new>
+#include <utility>
 
 namespace filbertwick::platform {
 namespace {
@@ -12,6 +18,30 @@
   return object.if_contains(json::string_view(name.data(), name.size()));
 }
 
+/// Memory of a JSON value up to a limit; std::bad_alloc above it.
+class BoundedResource : public json::memory_resource {
+ public:
+  explicit BoundedResource(size_t max_bytes) : bytes_left_(max_bytes) {}
+
+ private:
+  void* do_allocate(size_t bytes, size_t alignment) override {
+    if (bytes > bytes_left_) {
+      throw std::bad_alloc();
+    }
+    bytes_left_ -= bytes;
+    return ::operator new(bytes, std::align_val_t(alignment));
+  }
+  void do_deallocate(void* memory, size_t bytes, size_t alignment) override {
+    bytes_left_ += bytes;
+    ::operator delete(memory, bytes, std::align_val_t(alignment));
+  }
+  bool do_is_equal(const json::memory_resource& other) const noexcept override {
+    return this == &other;
+  }
+
+  size_t bytes_left_;
+};
+
 }  // namespace
 
 std::optional<json::object> ParseObject(std::string_view text) {
@@ -22,6 +52,26 @@
   return object == nullptr ? std::nullopt : std::optional(std::move(*object));
 }
 
+absl::StatusOr<json::object> ParseBoundedObject(std::string_view text,
+                                                size_t max_bytes) {
+  try {
+    // The parser's own stack of values uses the same memory.
+    const auto memory = json::make_shared_resource<BoundedResource>(max_bytes);
+    json::parser parser(memory);
+    parser.reset(memory);
+    boost::system::error_code ec;
+    parser.write(text.data(), text.size(), ec);
+    json::value value = ec ? json::value() : parser.release();
+    if (json::object* object = value.if_object()) {
+      return std::move(*object);
+    }
+  } catch (const std::bad_alloc&) {
+    return absl::ResourceExhaustedError(fmt::format(
+        "the parsed text needs more than {} bytes of memory", max_bytes));
+  }
+  return absl::InvalidArgumentError("the text must be a JSON object");
+}
+
 const json::object* FindObject(const json::object& object,
                                std::string_view name) {
   const json::value* value = Find(object, name);
--- a/filbertwick/platform/json_fields.h
+++ b/filbertwick/platform/json_fields.h
@@ -1,6 +1,8 @@
 #ifndef FILBERTWICK_PLATFORM_JSON_FIELDS_H_
 #define FILBERTWICK_PLATFORM_JSON_FIELDS_H_
 
+#include <absl/status/statusor.h>
+
 #include <boost/json/value.hpp>
 #include <cstdint>
 #include <optional>
@@ -17,6 +19,11 @@
 
 /// Parses a JSON object; nullopt for any other text.
 std::optional<boost::json::object> ParseObject(std::string_view text);
+/// The same for a text from a client, whose parsed form may use `max_bytes` of
+/// memory. ResourceExhausted if it needs more, InvalidArgument for any other
+/// text.
+absl::StatusOr<boost::json::object> ParseBoundedObject(std::string_view text,
+                                                       size_t max_bytes);
 
 const boost::json::object* FindObject(const boost::json::object& object,
                                       std::string_view name);
--- a/unit_tests/platform_codec_test.cc
+++ b/unit_tests/platform_codec_test.cc
@@ -11,6 +11,8 @@
 namespace direct = filbertwick::core::direct;
 using filbertwick::Duration;
 using filbertwick::http::Response;
+using filbertwick::platform::ClientLimits;
+using filbertwick::platform::DeriveClientLimits;
 using filbertwick::platform::IsJobId;
 using filbertwick::platform::ParseAddress;
 using filbertwick::platform::ParseAnnouncement;
@@ -88,6 +90,37 @@
   cr_assert(means("[]") == Means());
 }
 
+// Each limit has a default, and follows from what the machine has.
+Test(platform_settings, derives_the_limits_of_clients) {
+  const auto derive = [](const std::string& limits) {
+    const auto settings = ParsePlatformSettings(Replaced(
+        kSettings, R"("bounds")", R"("limits": )" + limits + R"(, "bounds")"));
+    cr_assert(settings.ok(), "%s", limits.c_str());
+    return DeriveClientLimits(settings->limits);
+  };
+  constexpr size_t kMegabyte = 1024 * 1024;
+  const ClientLimits large = derive(R"({"memory-mb": 260, "max-fds": 4100})");
+  cr_assert_eq(large.caller_connections, 3000);
+  // The settings of a machine without a limit are close to these.
+  cr_assert_eq(derive("{}").caller_connections, large.caller_connections);
+  cr_assert_eq(derive(R"({"memory-mb": -1})").held_bytes,
+               derive("{}").held_bytes);
+  for (const size_t memory_mb : {40, 64, 128, 260, 1024}) {
+    for (const size_t descriptors : {400, 1000, 4100}) {
+      const ClientLimits it =
+          derive("{\"memory-mb\":" + std::to_string(memory_mb) +
+                 ",\"max-fds\":" + std::to_string(descriptors) + "}");
+      const size_t connections = it.caller_connections +
+                                 it.instance_connections +
+                                 2 * it.other_connections;
+      cr_assert_lt(connections + 200, descriptors);
+      // The kernel doubles the size of the buffer.
+      cr_assert_lt(it.held_bytes + 2 * connections * it.socket_buffer_bytes,
+                   memory_mb * kMegabyte);
+    }
+  }
+}
+
 Test(platform_settings, parses_the_settings_of_a_sidecar) {
   std::string text = Replaced(kSettings, R"("front", "control")", R"("side")");
   text = Replaced(text, R"("ready": "10.1.0.13:8167")",
@@ -170,6 +203,28 @@
   }
 }
 
+// A body that is far larger when parsed than as text took 113 MB.
+Test(platform_jobs, bounds_the_memory_of_a_parsed_job) {
+  std::string values = "0";
+  for (int n = 0; n < 1'500'000; ++n) {
+    values += ",0";
+  }
+  const auto large = ParseJob(
+      R"({"spec":"","steps":[{}],"best-effort":true,"x":[)" + values + "]}",
+      MakeRoute());
+  cr_assert(absl::IsResourceExhausted(large.status()));
+  // The widest job that the limits allow still fits.
+  std::string steps = "{}";
+  std::string after;
+  for (int n = 0; n + 1 < 1000; ++n) {
+    after += (n == 0 ? "" : ",") + std::to_string(n);
+    steps += R"(,{"cpu":1,"mem-mb":1,"estimate-ms":1,"after":[)" + after + "]}";
+  }
+  const auto widest = ParseJob(
+      R"({"spec":"","best-effort":true,"steps":[)" + steps + "]}", MakeRoute());
+  cr_assert(widest.ok(), "%s", widest.status().ToString().c_str());
+}
+
 Test(platform_jobs, validates_job_ids) {
   cr_assert(IsJobId("5c0e7a21d94b36f8"));
   cr_assert_not(IsJobId("5c0e7a21d94b36f"));
