Count requests that wait for the first configuration in the budget

Up to 256 whole requests of up to 4 MiB each are held for 0.3 s while a process that has just started waits for its configuration; the bound was their number.

Each reserves its size in the budget for clients now, which refuses large ones first; without room the answer is 503 at once, as it would be 0.3 s later.

--- a/filbertwick/platform/early_requests.cc
+++ b/filbertwick/platform/early_requests.cc
@@ -15,11 +15,13 @@
       expired_(std::move(expired)) {}
 
 bool EarlyRequests::Add(const http::Request& request,
-                        const http::Responder& respond) {
+                        const http::Responder& respond,
+                        core::policy::ClientReservation memory) {
   if (requests_.size() >= max_requests_) {
     return false;
   }
-  requests_.push_back({request, respond, MonotonicClock::now()});
+  requests_.push_back(
+      {request, respond, MonotonicClock::now(), std::move(memory)});
   if (requests_.size() == 1) {
     AwaitExpiry();
   }
@@ -34,8 +36,9 @@
 
 std::vector<EarlyRequest> EarlyRequests::TakeAll() {
   timer_.cancel();
-  const std::deque<EarlyRequest> taken = std::exchange(requests_, {});
-  return {taken.begin(), taken.end()};
+  std::deque<EarlyRequest> taken = std::exchange(requests_, {});
+  return {std::make_move_iterator(taken.begin()),
+          std::make_move_iterator(taken.end())};
 }
 
 void EarlyRequests::AwaitExpiry() {
--- a/filbertwick/platform/early_requests.h
+++ b/filbertwick/platform/early_requests.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "filbertwick/base/time.h"
+#include "filbertwick/core/policy/client_budget.h"
 #include "filbertwick/http/server.h"
 
 namespace filbertwick::platform {
@@ -18,6 +19,8 @@
   http::Request request;
   http::Responder respond;
   Instant arrived;
+  /// Released with the request.
+  core::policy::ClientReservation memory;
 };
 
 /// Holds requests that arrive before the process knows what to do with them.
@@ -34,8 +37,11 @@
                 size_t max_requests,
                 ExpiryHook expired);
 
-  /// Holds a request; false when the limit is reached.
-  bool Add(const http::Request& request, const http::Responder& respond);
+  /// Holds a request, for which `memory` is reserved; false when the limit is
+  /// reached.
+  bool Add(const http::Request& request,
+           const http::Responder& respond,
+           core::policy::ClientReservation memory = {});
   /// Drops the request with this number, whose caller has disconnected.
   void Remove(uint64_t number);
   /// Returns all requests, in order of arrival, and holds them no longer.
--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -329,7 +329,7 @@
   void HandleRequest(const http::Request& request,
                      const http::Responder& respond) {
     if (!peer_service_->control().has_configuration() &&
-        early_requests_.Add(request, respond)) {
+        HoldEarly(request, respond)) {
       return;
     }
     HandleRequest(request, respond, Duration(0));
@@ -347,6 +347,13 @@
   void RefuseEarly(const EarlyRequest& early) {
     RespondDirectly(early.request, early.respond,
                     RetryResponse("no_configuration", kShortRetryAfter));
+  /// Holds a request until the first configuration; false if there is no room.
+  bool HoldEarly(const http::Request& request, const http::Responder& respond) {
+    auto memory = core::policy::ClientReservation::Create(
+        MonotonicClock::now(), context_.client_budget, request.body.size());
+    return memory && early_requests_.Add(request, respond, *std::move(memory));
+  }
+
   }
 
   /// Sends a response that the core has no part in.
