Bound the memory and the connections of jobs that are not answered yet

A crowd of jobs with many tasks made the entry exceed its memory, since a job of 100 bytes of text may need 160 KB and only the number of waiting jobs was limited. Where the machine has few descriptors, callers that wait held all connections, and a full queue refused jobs whose upstreams were idle.

A job reserves what it needs in the budget for clients, or is refused with 503. Half of the connections at most belong to waiting jobs, and a job for whose service nobody waits is tried before it can be refused for a full queue.

--- a/filbertwick/core/direct/direct_entry.cc
+++ b/filbertwick/core/direct/direct_entry.cc
@@ -124,7 +124,9 @@
     Refuse(now, added, "entry_overloaded");
     return;
   }
-  if (wait_queue_.size() >= settings_.max_waiting_jobs) {
+  // Where no job waits for its service, the job may not have to wait.
+  if (wait_queue_.size() >= settings_.max_waiting_jobs &&
+      IsWaitedFor(added.spec.service)) {
     const auto last = wait_queue_.EvictForNewcomer(QueueEntryFor(added));
     Refuse(now, last ? *jobs_.Find(*last) : added, "line_full");
     if (!last) {
@@ -135,6 +137,13 @@
   placement_due_ = true;
 }
 
+bool DirectEntry::Impl::IsWaitedFor(std::string_view service) {
+  return std::ranges::any_of(
+      wait_queue_.InPlacementOrder(), [&](uint64_t number) {
+        return jobs_.Find(number)->spec.service == service;
+      });
+}
+
 Duration DirectEntry::Impl::MaxWait(const JobRequest& spec) const {
   // A job that waits for more than target - expected can't meet its target
   // latency any more; the capacity serves other jobs better.
--- a/filbertwick/core/direct/direct_entry_impl.h
+++ b/filbertwick/core/direct/direct_entry_impl.h
@@ -111,6 +111,8 @@
   void StopAndRemove(Instant now, DirectJob& job);
   void Enqueue(const DirectJob& job);
   policy::WaitingJob QueueEntryFor(const DirectJob& job) const;
+  /// Returns true if a job waits for upstreams of the service.
+  bool IsWaitedFor(std::string_view service);
   /// Returns true when a task of the job may have run: one is offered or
   /// running now, or DirectJob::started is set.
   static bool MayHaveRun(const DirectJob& job);
--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "filbertwick/core/direct/direct_entry.h"
+#include "filbertwick/core/direct/job_footprint.h"
 #include "filbertwick/core/direct/names.h"
 #include "filbertwick/http/json_response.h"
 #include "filbertwick/http/server.h"
@@ -193,6 +194,13 @@
   }
 
  private:
+  /// A submission that is not answered yet.
+  struct OpenRequest {
+    http::Responder respond;
+    /// For the job.
+    core::policy::ClientReservation memory;
+  };
+
   static std::unique_ptr<DirectEntry> CreateCore(
       const PlatformSettings& settings,
       uint64_t incarnation) {
@@ -202,6 +210,10 @@
     core_settings.handover = core::direct::HandoverTimes::ScaledToFit(
         settings.resend_after, core_settings.times);
     core_settings.means = settings.means;
+    // The connections of waiting callers must leave room for others.
+    core_settings.max_waiting_jobs =
+        std::min(core_settings.max_waiting_jobs,
+                 DeriveClientLimits(settings.limits).caller_connections / 2);
     core_settings.zone = settings.zone;
     return DirectEntry::Create({settings.name, incarnation}, core_settings,
                                FormatTaskName);
@@ -300,12 +312,12 @@
   }
 
   void Respond(uint64_t request, http::Response response) {
-    const auto it = responders_.find(request);
-    if (it == responders_.end()) {
+    const auto it = open_requests_.find(request);
+    if (it == open_requests_.end()) {
       return;  // The caller has disconnected.
     }
-    const http::Responder respond = std::move(it->second);
-    responders_.erase(it);
+    const http::Responder respond = std::move(it->second.respond);
+    open_requests_.erase(it);
     respond(CloseWhenStopping(std::move(response)));
   }
 
@@ -320,7 +332,7 @@
 
   void OnCallerDisconnected(uint64_t request) {
     early_requests_.Remove(request);
-    responders_.erase(request);
+    open_requests_.erase(request);
     runner_.Run([&](Instant now, EntryEffects& out) {
       core().OnCallerGone(now, request, out);
     });
@@ -335,6 +347,13 @@
     HandleRequest(request, respond, Duration(0));
   }
 
+  /// Holds a request until the first configuration; false if there is no room.
+  bool HoldEarly(const http::Request& request, const http::Responder& respond) {
+    auto memory = core::policy::ClientReservation::Create(
+        MonotonicClock::now(), context_.client_budget, request.body.size());
+    return memory && early_requests_.Add(request, respond, *std::move(memory));
+  }
+
   /// Handles a request that was held for `held` before.
   void HandleRequest(const http::Request& request,
                      const http::Responder& respond,
@@ -347,13 +366,6 @@
   void RefuseEarly(const EarlyRequest& early) {
     RespondDirectly(early.request, early.respond,
                     RetryResponse("no_configuration", kShortRetryAfter));
-  /// Holds a request until the first configuration; false if there is no room.
-  bool HoldEarly(const http::Request& request, const http::Responder& respond) {
-    auto memory = core::policy::ClientReservation::Create(
-        MonotonicClock::now(), context_.client_budget, request.body.size());
-    return memory && early_requests_.Add(request, respond, *std::move(memory));
-  }
-
   }
 
   /// Sends a response that the core has no part in.
@@ -438,16 +450,26 @@
     if (!job.ok()) {
       context_.log(
           LogLine("job_not_taken").Add("job", id).AddCause(job.status()));
+      if (absl::IsResourceExhausted(job.status())) {
+        return ErrorResponse(413, "body_too_large");
+      }
       return absl::IsUnimplemented(job.status())
                  ? RetryResponse("unsupported", kShortRetryAfter)
                  : ErrorResponse(400, "no_job");
     }
+    auto memory = core::policy::ClientReservation::Create(
+        MonotonicClock::now(), context_.client_budget,
+        core::direct::EstimateFootprint(*job));
+    if (!memory) {
+      return RetryResponse("out_of_memory", kShortRetryAfter);
+    }
     job->id = id;
     job->request = request.number;
     // Both count from the arrival of the request.
     job->time_limit = TimeLimit(request, route, job->target) - held;
     job->target -= held;
-    responders_[request.number] = respond;
+    open_requests_.emplace(request.number,
+                           OpenRequest{respond, *std::move(memory)});
     runner_.Run([&](Instant now, EntryEffects& out) {
       core().OnJob(now, WallTime::Now(), *std::move(job), out);
     });
@@ -457,9 +479,6 @@
   /// Returns how long the caller waits, as its header states. Without the
   /// header, the longer of the route's limit and the time after which an answer
   /// is of no use, so that a nearly finished job is not dropped while its
-      if (absl::IsResourceExhausted(job.status())) {
-        return ErrorResponse(413, "body_too_large");
-      }
   /// caller still waits.
   static Duration TimeLimit(const http::Request& request,
                             const Route& route,
@@ -503,7 +522,7 @@
       return false;
     }
     caller_server_->StopAccepting();
-    return responders_.empty() && early_requests_.empty() &&
+    return open_requests_.empty() && early_requests_.empty() &&
            core().Status(MonotonicClock::now()).handed_in_jobs == 0;
   }
 
@@ -520,9 +539,8 @@
   std::vector<core::direct::HandoverMessage> received_handovers_;
   /// What the machines of the known entries have.
   std::map<InstanceName, EntryMeans> known_means_;
-  /// Responders of the submissions that are not answered yet, by request
-  /// number.
-  std::map<uint64_t, http::Responder> responders_;
+  /// The submissions that are not answered yet, by request number.
+  std::map<uint64_t, OpenRequest> open_requests_;
   std::unique_ptr<PeerService> peer_service_;
   std::unique_ptr<http::Server> caller_server_;
   std::unique_ptr<http::Server> readiness_server_;
--- a/unit_tests/direct_entry_test.cc
+++ b/unit_tests/direct_entry_test.cc
@@ -6,6 +6,9 @@
 #include <utility>
 #include <vector>
 
+#include "filbertwick/core/direct/direct_job_table.h"
+#include "filbertwick/core/direct/direct_settings.h"
+#include "filbertwick/core/direct/job_footprint.h"
 #include "filbertwick/core/direct/job_history.h"
 #include "unit_tests/direct_entry_fixture.h"
 
@@ -529,3 +532,49 @@
     cr_assert_eq(it.offers.front().first, 1);
   }
 }
+
+// A full queue refused jobs of a service for which no other job waits, though
+// its upstreams were idle.
+Test(direct_entry, places_a_job_of_another_service_when_the_queue_is_full) {
+  Fixture it;
+  SidecarMessage other = it.MessageFrom(1, 2);
+  other.upstream.service = "other";
+  it.Deliver(other);
+  JobRequest waiting = it.Job("", 2);
+  waiting.expected = Duration(0);
+  for (size_t n = 0; n < DirectEntrySettings().max_waiting_jobs + 1; ++n) {
+    waiting.id = "waits" + std::to_string(n);
+    ++waiting.request;
+    it.Submit(waiting);
+  }
+  it.offers.clear();
+  it.answers.clear();
+  JobRequest job = waiting;
+  job.id = "j";
+  job.service = "other";
+  job.request = 10'000;
+  job.target += kMilli;
+  it.Submit(job);
+  cr_assert_eq(it.offers.size(), 1);
+  cr_assert_eq(it.offers.front().first, 1);
+  // Another one of the full service is refused.
+  waiting.id = "last";
+  waiting.request = 10'001;
+  waiting.target += 2 * kMilli;
+  it.Submit(waiting);
+  cr_assert_eq(it.answers.size(), 1);
+  cr_assert_eq(it.answers.front().outcome, JobOutcome::kRefused);
+}
+
+// A short text may describe a job whose state is large.
+Test(job_footprint, covers_the_state_of_tasks_and_dependencies) {
+  Fixture it;
+  JobRequest job = it.Job("0123456789abcdef", 1);
+  const size_t small = EstimateFootprint(job);
+  cr_assert_lt(small, 4096);
+  job.steps.front().count = 1000;
+  cr_assert_geq(EstimateFootprint(job), small + 999 * sizeof(JobTask));
+  job.steps.front().after.assign(1000, 0);
+  cr_assert_geq(EstimateFootprint(job),
+                small + 999 * sizeof(JobTask) + 1000 * sizeof(size_t));
+}
