Bound the size of queued log lines, not only their number

Log lines hold paths and ids of clients, up to the header limit of 64 KB, and 10,000 lines were queued while nobody reads the output: up to 640 MB.

At most 4 MB are queued or being written; further lines are dropped and counted as those beyond 10,000 were.

output_loop/drops_lines_above_a_size_while_the_output_is_blocked: 64 MB written before, at most 5 MB after.

--- a/filbertwick/base/output_loop.cc
+++ b/filbertwick/base/output_loop.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr size_t kMaxQueuedLines = 10'000;
+/// Lines may hold texts of clients, so their number alone bounds no memory.
+constexpr size_t kMaxQueuedBytes = 4 * 1024 * 1024;
 constexpr Duration kMaxWait = std::chrono::seconds(1);
 
 }  // namespace
@@ -23,7 +25,10 @@
 }
 
 void OutputLoop::Write(const char* prefix, std::string text) {
-  if (!lines_.TryPush({prefix, std::move(text)})) {
+  const size_t size = text.size();
+  if (queued_bytes_.fetch_add(size) + size > kMaxQueuedBytes ||
+      !lines_.TryPush({prefix, std::move(text)})) {
+    queued_bytes_.fetch_sub(size);
     dropped_.fetch_add(1, std::memory_order_relaxed);
   }
 }
@@ -34,6 +39,7 @@
     const auto lines = lines_.PopAll(MonotonicClock::now() + kMaxWait);
     for (const OutputLine& line : lines) {
       Logger(line.prefix, sink_).Write(line.text);
+      queued_bytes_.fetch_sub(line.text.size());
     }
     if (const uint64_t dropped = dropped_.exchange(0); dropped > 0) {
       Logger("output", sink_)
--- a/filbertwick/base/output_loop.h
+++ b/filbertwick/base/output_loop.h
@@ -19,8 +19,8 @@
 };
 
 /// Writes log and audit lines on a thread of its own, so that no other thread
-/// waits for the output. Lines that find the queue full are dropped, and their
-/// number is written to the output.
+/// waits for the output. Lines that find the queue full, by their number or
+/// their size, are dropped, and their number is written to the output.
 class OutputLoop {
  public:
   /// Starts the thread; lines go to `sink`.
@@ -39,6 +39,8 @@
 
   LogSink sink_;
   BoundedQueue<OutputLine> lines_;
+  /// Bytes of the lines that are queued or being written.
+  std::atomic<size_t> queued_bytes_ = 0;
   std::atomic<uint64_t> dropped_ = 0;
   std::thread thread_;
 };
--- a/unit_tests/decision_loop_test.cc
+++ b/unit_tests/decision_loop_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <condition_variable>
+#include <future>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -165,4 +166,29 @@
   cr_assert(written[7] == "part: 7");
 }
 
+// Lines that hold texts of clients were bounded by their number only, while the
+// output is blocked.
+Test(output_loop, drops_lines_above_a_size_while_the_output_is_blocked) {
+  constexpr size_t kLineBytes = 64 * 1024;
+  constexpr size_t kLines = 1000;
+  std::promise<void> unblocked;
+  const std::shared_future<void> output_works(unblocked.get_future());
+  size_t written = 0;
+  bool reports_drops = false;
+  {
+    OutputLoop output([&](std::string_view line) {
+      output_works.wait();
+      written += line.size();
+      reports_drops |= line.find("lines dropped") != line.npos;
+    });
+    for (size_t n = 0; n < kLines; ++n) {
+      output.Write("", std::string(kLineBytes, 'x'));
+    }
+    unblocked.set_value();
+  }
+  cr_assert_gt(written, kLineBytes);
+  cr_assert_leq(written, 5UL * 1024 * 1024);
+  cr_assert(reports_drops);
+}
+
 }  // namespace
