--- a/filbertwick/daemon/settings.cc
+++ b/filbertwick/daemon/settings.cc
@@ -39,6 +39,8 @@
 constexpr Range kBodyBytes = {1'024, 64 * 1'024 * 1'024};
 constexpr Range kHttpTimeoutMs = {100, 600'000};
 constexpr Range kHttpConnections = {1, 100'000};
+/// From one body of the default limit to the memory of a large machine.
+constexpr Range kHttpHeldBytes = {8 * 1024 * 1024, 64LL * 1024 * 1024 * 1024};
 constexpr Range kLogTimesMs = {1, 60'000};
 
 constexpr std::array<json::Choice<wire::Role>, 2> kRoles = {
@@ -251,6 +253,8 @@
                                              http.idle_timeout);
     http.max_connections = reader->Integer<size_t>(
         "max_connections", kHttpConnections, http.max_connections);
+    http.max_held_bytes = reader->Integer<size_t>(
+        "max_held_bytes", kHttpHeldBytes, http.max_held_bytes);
     reader->Finish();
   }
 
--- a/filbertwick/http/server.h
+++ b/filbertwick/http/server.h
@@ -46,11 +46,12 @@
   /// Receive and send buffer of each connection in the kernel, as set by
   /// setsockopt(2); 0 leaves them to the operating system.
   size_t socket_buffer_bytes = 0;
+  /// Limit of the memory held for clients, if no budget is given.
+  size_t max_held_bytes = 256 * 1024 * 1024;
   /// Bounds the memory held for clients. Servers of one io_context may share
-  /// it; without one, the server has a budget of kDefaultBudgetBytes. A client
-  /// whose request must go before it is complete is answered with 503.
+  /// it. A client whose request must go before it is complete is answered with
+  /// 503.
   std::shared_ptr<core::policy::ClientBudget> budget;
-  static constexpr size_t kDefaultBudgetBytes = 256 * 1024 * 1024;
 };
 
 /// Sends the response to one request. May be called from any thread, during the
--- a/filbertwick/http/server_impl.h
+++ b/filbertwick/http/server_impl.h
@@ -37,8 +37,7 @@
         handler_(std::move(handler)),
         on_disconnect_(std::move(on_disconnect)) {
     if (!settings_.budget) {
-      settings_.budget =
-          ClientBudget::Create(ServerSettings::kDefaultBudgetBytes);
+      settings_.budget = ClientBudget::Create(settings_.max_held_bytes);
     }
   }
 
