Close an offer whose runs have ended, and do not resend that of a removed job

The resend has a fresh reading of the sidecar's clock, and the sidecar starts the run once it has forgotten the stop.

An offer is closed when all its runs have ended. An offer of a removed job is not resent; the stops of its runs are, until each is reported as ended, whether it was started or not.

--- a/filbertwick/core/direct/direct_entry.cc
+++ b/filbertwick/core/direct/direct_entry.cc
@@ -272,9 +272,17 @@
 }
 
 void DirectEntry::Impl::StopAndRemove(Instant now, DirectJob& job) {
+  std::set<SidecarView*> views;
   for (const JobTask& task : job.tasks) {
     if (task.phase == TaskPhase::kPlaced) {
-      StopRun(now, sidecars_.at(task.sidecar), {task.name, task.run});
+      SidecarView& view = sidecars_.at(task.sidecar);
+      StopRun(now, view, {task.name, task.run});
+      views.insert(&view);
+    }
+  }
+  for (SidecarView* view : views) {
+    for (OpenOffer& open : view->offers | std::views::values) {
+      open.is_withdrawn |= open.job == job.number;
     }
   }
   recent_run_numbers_.Record(now, job.spec.id, job.next_run_number);
@@ -422,7 +430,7 @@
     return action == Action::kSend;
   };
   for (OpenOffer& open : view.offers | std::views::values) {
-    if (is_sent(open.resend)) {
+    if (!open.is_withdrawn && is_sent(open.resend)) {
       message.offers.push_back(open.offer);
     }
   }
--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -312,7 +312,8 @@
     offer.service = job.spec.service;
     offer.queue = job.spec.queue;
     view.offers.emplace(
-        id, OpenOffer{std::move(offer), {}, policy::ResendTimer(now)});
+        id,
+        OpenOffer{std::move(offer), {}, policy::ResendTimer(now), job.number});
     view.send_due = true;
   }
 }
--- a/filbertwick/core/direct/direct_entry_sessions.cc
+++ b/filbertwick/core/direct/direct_entry_sessions.cc
@@ -203,13 +203,17 @@
   view.runs.erase(end.run);
   view.suspect_runs.erase(end.run);
   placement_due_ |= RemoveStop(view, end.run);
-  // The end may arrive before the reply to the offer.
-  for (OpenOffer& open : view.offers | std::views::values) {
+  // The end may arrive before the reply to the offer. Once all its runs have
+  // ended, no reply is needed.
+  for (auto it = view.offers.begin(); it != view.offers.end();) {
+    OpenOffer& open = it->second;
     if (std::ranges::any_of(open.offer.tasks, [&](const OfferedTask& task) {
           return task.run == end.run;
         })) {
       open.ended.insert(end.run);
     }
+    const bool all_ended = open.ended.size() == open.offer.tasks.size();
+    it = all_ended ? view.offers.erase(it) : std::next(it);
   }
   const auto ref = jobs_.FindRun(end.run);
   if (!ref) {
--- a/filbertwick/core/direct/sidecar_view.h
+++ b/filbertwick/core/direct/sidecar_view.h
@@ -22,6 +22,11 @@
   /// tasks is that of the reply.
   std::set<TaskRun> ended;
   policy::ResendTimer resend;
+  /// The job that the tasks belong to.
+  uint64_t job = 0;
+  /// The job was removed, so all runs of the offer are to be stopped. It is not
+  /// resent: a sidecar that has forgotten the stops by then would start them.
+  bool is_withdrawn = false;
 };
 
 /// Waiting tasks for which an entry claims capacity at a sidecar.
@@ -157,11 +162,14 @@
   /// `stops` stays.
   std::set<TaskRun> TakeUnfinishedRuns();
 
-  /// Calls `visit` with the timer of every unanswered offer and stop.
+  /// Calls `visit` with the timer of every unanswered offer, unless it is
+  /// withdrawn, and of every stop.
   template <typename Visit>
   void ForEachResend(Visit visit) {
     for (OpenOffer& open : offers | std::views::values) {
-      visit(open.resend);
+      if (!open.is_withdrawn) {
+        visit(open.resend);
+      }
     }
     for (policy::ResendTimer& resend : stops | std::views::values) {
       visit(resend);
@@ -170,7 +178,9 @@
   template <typename Visit>
   void ForEachResend(Visit visit) const {
     for (const OpenOffer& open : offers | std::views::values) {
-      visit(open.resend);
+      if (!open.is_withdrawn) {
+        visit(open.resend);
+      }
     }
     for (const policy::ResendTimer& resend : stops | std::views::values) {
       visit(resend);
--- a/unit_tests/direct_entry_test.cc
+++ b/unit_tests/direct_entry_test.cc
@@ -192,6 +192,26 @@
   cr_assert(it.offers.empty(), "offered %lu times", it.offers.size());
 }
 
+// The same while the end is not reported yet: the stops of a removed job are
+// resent, its offer is not, though it is unanswered.
+Test(direct_entry, does_not_resend_the_offer_of_a_removed_job) {
+  Fixture it;
+  const JobRequest job = it.Job("j", 2);
+  it.Submit(job);
+  it.offers.clear();
+  EntryEffects effects;
+  it.entry->OnCallerGone(it.now, job.request, effects);
+  it.Collect(effects);
+  it.stops.clear();
+  for (int n = 0; n < 6; ++n) {
+    it.AdvanceTime(50 * kMilli);
+    it.SendFromSidecar(0, {}, {});
+    it.SendFromSidecar(1, {}, {});
+  }
+  cr_assert_not(it.stops.empty());
+  cr_assert(it.offers.empty(), "offered %lu times", it.offers.size());
+}
+
 Test(direct_entry, offers_nothing_in_a_zone_that_is_out) {
   Fixture it;
   it.entry->SetZonesOut({ZoneName("z0")});
