Count parsed header fields at what they take, not at their text

A header section of 16 KB with 3,200 fields of five bytes takes 240 KB once it is parsed, fifteen times of what the budget for clients counted, and stays with the request until its body is complete.

The fields are counted when the section is complete.

--- a/filbertwick/http/server_connection.cc
+++ b/filbertwick/http/server_connection.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <chrono>
+#include <iterator>
 #include <string_view>
 #include <utility>
 
@@ -27,6 +28,8 @@
 /// The same while the budget is short. Bytes are still read then, so that a
 /// close by the client is noticed.
 constexpr size_t kMinPipelinedBytes = 1024;
+/// Memory of a parsed header field, besides its text.
+constexpr size_t kHeaderFieldBytes = 96;
 /// Retry-After for a client whose incomplete request had to go.
 constexpr std::chrono::seconds kGiveUpRetryAfter{1};
 /// How long a connection waits for the client to close after the last response.
@@ -259,6 +262,9 @@
   }
   header_processed_ = true;
   deadline_ = request_deadline_;
+  const auto& header = parser_->get();
+  header_bytes_ += kHeaderFieldBytes * static_cast<size_t>(std::distance(
+                                           header.begin(), header.end()));
   if (boost::algorithm::iequals(parser_->get()[beast::http::field::expect],
                                 "100-continue")) {
     ErrorCode ec;
--- a/filbertwick/http/server_impl.h
+++ b/filbertwick/http/server_impl.h
@@ -216,7 +216,7 @@
   /// At least one byte of the current request has arrived.
   bool request_started_ = false;
   bool header_processed_ = false;
-  /// Bytes of the header section that the parser has taken.
+  /// Memory of the header section in the parser.
   size_t header_bytes_ = 0;
   /// The request method is HEAD: the response is sent without its body.
   bool is_head_request_ = false;
--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -349,6 +349,10 @@
 
   /// Holds a request until the first configuration; false if there is no room.
   bool HoldEarly(const http::Request& request, const http::Responder& respond) {
+    size_t bytes = request.body.size() + request.target.size();
+    for (const http::Header& header : request.headers) {
+      bytes += sizeof(header) + header.name.size() + header.value.size();
+    }
     auto memory = core::policy::ClientReservation::Create(
         MonotonicClock::now(), context_.client_budget, request.body.size());
     return memory && early_requests_.Add(request, respond, *std::move(memory));
--- a/unit_tests/client_crowd_test.cc
+++ b/unit_tests/client_crowd_test.cc
@@ -1,11 +1,16 @@
 #include <criterion/criterion.h>
 #include <fmt/format.h>
 
-#include <filesystem>
+#include <algorithm>
+#include <iterator>
+#include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "unit_tests/client_crowd.h"
 #include "unit_tests/crowd_deployment.h"
+#include "unit_tests/http_fixture.h"
 
 // Crowds of clients that do not keep to the protocol or to the limits, against
 // the programs themselves. Each test checks that the process lives, stays
@@ -20,6 +25,7 @@
 using filbertwick::test::DeploymentSettings;
 using filbertwick::test::kKilobyte;
 using filbertwick::test::kMegabyte;
+using filbertwick::test::RawConnection;
 
 /// Clients of most crowds, each of which sends up to some megabytes.
 constexpr size_t kClients = 100;
@@ -191,6 +197,13 @@
                   {std::string(kPost), "X-Header: x\r\n", 8, ""});
 }
 
+// Guards against header fields that are far larger when parsed than as text.
+Test(client_crowd, headers_of_many_fields) {
+  CheckEntryHolds(kManyClients, {std::string(kPost) + Repeat("a:b\r\n", 3200) +
+                                     "Content-Length: 1000\r\n\r\n",
+                                 "", 0, ""});
+}
+
 // Guards against requests that wait in the process and in its sockets while the
 // client takes no answer.
 Test(client_crowd, answers_that_are_not_taken) {
@@ -283,3 +296,39 @@
   crowd.Send(ClientScript{});
   deployment.CheckSidecarHeld();
 }
+
+// No limit concerns clients inside the limits: kept-alive connections, and a
+// body of the largest size that arrives in small parts between their requests.
+Test(client_crowd, clients_inside_the_limits_are_served) {
+  constexpr size_t kKeptAlive = 80;
+  constexpr size_t kPart = 4 * kKilobyte;
+  const DeploymentSettings settings;
+  Deployment deployment(FW_PLATFORM_PROGRAM, settings);
+  deployment.AwaitService();
+  const auto connect = [&] {
+    return std::make_unique<RawConnection>(Deployment::kCallerPort,
+                                           deployment.entry().host());
+  };
+  std::vector<std::unique_ptr<RawConnection>> callers;
+  std::generate_n(std::back_inserter(callers), kKeptAlive, connect);
+  const auto slow = connect();
+  const std::string job = Deployment::JobText(1);
+  slow->Send(
+      "POST /quote/00000000000000bb HTTP/1.1\r\nHost: crowd.example\r\n" +
+      fmt::format("Content-Length: {}\r\n\r\n{}", settings.max_body_bytes,
+                  job));
+  const std::string answer =
+      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+      "Content-Length: 13\r\n\r\n{\"pending\":0}";
+  for (size_t sent = job.size(); sent < settings.max_body_bytes;) {
+    const size_t n = std::min(kPart, settings.max_body_bytes - sent);
+    slow->Send(std::string(n, ' '));
+    sent += n;
+    for (const auto& caller : callers) {
+      caller->Send("GET /crowd/ HTTP/1.1\r\nHost: crowd.example\r\n\r\n");
+      cr_assert_eq(caller->Read(answer.size()), answer);
+    }
+  }
+  cr_assert_eq(slow->Read(12), "HTTP/1.1 200");
+  deployment.CheckEntryHeld();
+}
--- a/unit_tests/http_fixture.h
+++ b/unit_tests/http_fixture.h
@@ -52,11 +52,12 @@
   std::thread thread_;
 };
 
-/// A blocking TCP connection to a port on the loopback interface.
+/// A blocking TCP connection to a loopback address.
 class RawConnection {
  public:
-  explicit RawConnection(uint16_t port) : socket_(context_) {
-    socket_.connect({boost::asio::ip::address_v4::loopback(), port}, ec_);
+  explicit RawConnection(uint16_t port, const std::string& host = "127.0.0.1")
+      : socket_(context_) {
+    socket_.connect({boost::asio::ip::make_address(host), port}, ec_);
   }
 
   /// Sends all bytes. Errors are ignored, as the server may have closed the
