Bound the jobs of waiting callers of filbertwickd by their size

filbertwickd limited the jobs of waiting callers by the number of their tasks only, 200,000 of up to 64 KiB each. Their text now reserves memory in the budget of the listener until the caller is answered or gone; without room the answer is 503, overloaded.

caller_api/refuses_jobs_that_do_not_fit_into_the_memory does not compile before, as there is no such hook. Not shown with a crowd of jobs: the daemon's crowd tests run without a bundle.

--- a/filbertwick/daemon/network_loop.cc
+++ b/filbertwick/daemon/network_loop.cc
@@ -109,9 +109,13 @@
   }
 
   absl::Status ListenForHttp() {
+    http::ServerSettings settings = settings_.http;
+    client_budget_ =
+        core::policy::ClientBudget::Create(settings.max_held_bytes);
+    settings.budget = client_budget_;
     IsEntry() ? CreateCallerApi() : CreateUpstreamApi();
     auto server = http::Server::Create(
-        context_, settings_.http,
+        context_, settings,
         [this](const http::Request& request, const http::Responder& respond) {
           caller_api_ ? caller_api_->Handle(request, respond)
                       : upstream_api_->Handle(request, respond);
@@ -140,6 +144,10 @@
     hooks.ready = hooks_.ready;
     hooks.read_audit = hooks_.read_audit;
     hooks.log = hooks_.log;
+    hooks.reserve = [this](size_t bytes) {
+      return core::policy::ClientReservation::Create(MonotonicClock::now(),
+                                                     client_budget_, bytes);
+    };
     caller_api_ = net::CallerApi::Create(settings_.operator_token, counters_,
                                          std::move(hooks));
   }
@@ -282,6 +290,8 @@
   /// executions are bounded by the open requests and running tasks; the
   /// upstream adds an event only when its announcement changes or times out.
   std::deque<DecisionInput> backlog_;
+  /// What the listener and the jobs of waiting callers may hold.
+  std::shared_ptr<core::policy::ClientBudget> client_budget_;
   std::unique_ptr<net::CallerApi> caller_api_;
   std::unique_ptr<net::UpstreamApi> upstream_api_;
   std::unique_ptr<net::PeerTransport> transport_;
--- a/filbertwick/net/caller_api.cc
+++ b/filbertwick/net/caller_api.cc
@@ -14,6 +14,8 @@
 namespace filbertwick::net {
 namespace {
 
+/// A job is there twice for a moment: as the request's body and parsed.
+constexpr size_t kJobCopies = 2;
 constexpr std::string_view kBearerPrefix = "Bearer ";
 
 bool TokensEqual(std::string_view given, std::string_view expected) {
@@ -97,6 +99,8 @@
   struct OpenRequest {
     http::Responder respond;
     bool explain = false;
+    /// For the job of a submission.
+    core::policy::ClientReservation memory = {};
   };
 
   bool HandleStatusRequest(const RequestContext& context) {
@@ -145,7 +149,16 @@
                            StatusMessage(spec.status()), false));
       return;
     }
-    OfferToCore(context, {context.respond, false},
+    OpenRequest open{context.respond};
+    if (hooks_.reserve) {
+      auto memory = hooks_.reserve(kJobCopies * context.request.body.size());
+      if (!memory) {
+        RefuseOverloaded(context.respond);
+        return;
+      }
+      open.memory = *std::move(memory);
+    }
+    OfferToCore(context, std::move(open),
                 core::SubmitEvent{context.request.number, *std::move(spec)});
   }
 
@@ -220,11 +233,14 @@
       return;
     }
     open_requests_.erase(number);
+    RefuseOverloaded(context.respond);
+  }
+
+  void RefuseOverloaded(const http::Responder& respond) {
     overloaded_.Add();
     // `not_run` is false: another entry may have accepted the same job.
-    context.respond(FormatRefusal(503,
-                                  wire::ToString(wire::Reason::kOverloaded),
-                                  "this entry can't take more now", false));
+    respond(FormatRefusal(503, wire::ToString(wire::Reason::kOverloaded),
+                          "this entry can't take more now", false));
   }
 
   void Refuse(const http::Responder& respond, http::Response response) {
--- a/filbertwick/net/caller_api.h
+++ b/filbertwick/net/caller_api.h
@@ -3,12 +3,14 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "filbertwick/base/counters.h"
 #include "filbertwick/core/effect.h"
 #include "filbertwick/core/event.h"
+#include "filbertwick/core/policy/client_budget.h"
 #include "filbertwick/http/message.h"
 #include "filbertwick/http/server.h"
 #include "filbertwick/net/status_endpoints.h"
@@ -32,6 +34,10 @@
   std::function<std::vector<core::AuditEffect>(wire::LogOffset)> read_audit;
   /// Writes a line to the log of the process.
   std::function<void(std::string)> log;
+  /// Reserves memory for a job; nullopt when there is no room. Without the hook
+  /// there always is.
+  std::function<std::optional<core::policy::ClientReservation>(size_t bytes)>
+      reserve = nullptr;
 };
 
 /// HTTP interface of an entry, for callers and operators.
--- a/unit_tests/caller_api_test.cc
+++ b/unit_tests/caller_api_test.cc
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <variant>
@@ -57,6 +59,10 @@
       return std::vector{line};
     };
     hooks.log = [this](std::string line) { log.push_back(std::move(line)); };
+    hooks.reserve =
+        [this](size_t bytes) -> std::optional<core::policy::ClientReservation> {
+      return reserve ? reserve(bytes) : core::policy::ClientReservation();
+    };
     api = CallerApi::Create("token", counters, std::move(hooks));
   }
 
@@ -85,6 +91,8 @@
 
   Counters counters;
   bool queue_full = false;
+  /// CallerApiHooks::reserve; null while there is room for every job.
+  std::function<std::optional<core::policy::ClientReservation>(size_t)> reserve;
   bool ready = true;
   std::vector<core::Event> events;
   std::vector<std::string> log;
@@ -333,4 +341,19 @@
   cr_assert_gt(refused, kDamagedRequests / 4);
 }
 
+// Jobs that wait for their answer were held without a limit of their size.
+Test(caller_api, refuses_jobs_that_do_not_fit_into_the_memory) {
+  Fixture fixture;
+  size_t reserved = 0;
+  fixture.reserve = [&](size_t bytes) {
+    reserved += bytes;
+    return std::nullopt;
+  };
+  const Response response =
+      fixture.Call("PUT", "/v1/jobs/a", std::string(kGoodJob));
+  cr_assert_eq(response.status, 503);
+  cr_assert_geq(reserved, kGoodJob.size());
+  cr_assert(fixture.events.empty());
+}
+
 }  // namespace
