--- a/filbertwick/core/policy/client_budget.cc
+++ b/filbertwick/core/policy/client_budget.cc
@@ -129,19 +129,24 @@
   std::vector<ClientHolding> holdings;
   std::ranges::transform(clients_ | std::views::values,
                          std::back_inserter(holdings), &Client::holding);
-  const uint64_t closed_before = closed_;
+  size_t closed = 0;
   for (const uint64_t id : ChooseToFreeBytes(holdings, used_ - bytes, now)) {
     const auto it = clients_.find(id);
     if (it == clients_.end()) {
       continue;  // Closed together with another one.
     }
-    ++closed_;
+    ++closed;
     // The hook may remove the client, and itself with it.
     const CloseHook close = it->second.close;
     close();
   }
-  if (on_closed_ && closed_ > closed_before) {
-    on_closed_(closed_ - closed_before);
+  ReportClosed(Shortage::kMemory, closed);
+}
+
+void ClientBudget::ReportClosed(Shortage shortage, size_t count) {
+  closed_ += count;
+  if (on_closed_ && count > 0) {
+    on_closed_(shortage, count);
   }
 }
 
--- a/filbertwick/core/policy/client_budget.h
+++ b/filbertwick/core/policy/client_budget.h
@@ -69,8 +69,10 @@
   using CloseHook = std::function<void()>;
 
   static constexpr size_t kReservationHeadroom = 4;
+  /// What was used up when connections were closed.
+  enum class Shortage : uint8_t { kMemory, kConnections };
   /// Called with the number of connections that were closed together.
-  using ClosedHook = std::function<void(size_t)>;
+  using ClosedHook = std::function<void(Shortage, size_t)>;
 
   /// `max_bytes` is the limit of all holdings and reservations.
   static std::shared_ptr<ClientBudget> Create(size_t max_bytes,
@@ -85,6 +87,9 @@
   /// free again. Connections of other owners may be closed, and the caller's.
   void Relieve(Instant now);
 
+  /// Reports connections that a server has closed to accept others.
+  void ReportClosed(Shortage shortage, size_t count);
+
   /// Reserves memory for a request that is complete, and closes connections to
   /// make room for it. Returns false, and reserves nothing, if reservations
   /// would leave less than a quarter of the limit to parts of requests, or if
@@ -102,7 +107,7 @@
 
   size_t used_bytes() const { return used_; }
   size_t max_bytes() const { return max_bytes_; }
-  /// Connections closed by Relieve() and Reserve() so far.
+  /// Connections closed so far.
   uint64_t closed() const { return closed_; }
   /// Calls of Reserve() that returned false.
   uint64_t refused() const { return refused_; }
--- a/filbertwick/http/server.cc
+++ b/filbertwick/http/server.cc
@@ -104,11 +104,13 @@
   std::ranges::transform(connections_ | std::views::keys,
                          std::back_inserter(holdings),
                          [this](uint64_t id) { return budget().holding(id); });
-  for (const uint64_t id : core::policy::ChooseToFreeConnections(
-           holdings, settings_.max_connections / kClosedShare + 1)) {
+  const std::vector<uint64_t> chosen = core::policy::ChooseToFreeConnections(
+      holdings, settings_.max_connections / kClosedShare + 1);
+  for (const uint64_t id : chosen) {
     const auto connection = connections_.at(id);
     connection->Close();
   }
+  budget().ReportClosed(ClientBudget::Shortage::kConnections, chosen.size());
 }
 
 void Server::Impl::ScheduleDeadlineCheck() {
--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -354,7 +354,7 @@
       bytes += sizeof(header) + header.name.size() + header.value.size();
     }
     auto memory = core::policy::ClientReservation::Create(
-        MonotonicClock::now(), context_.client_budget, request.body.size());
+        MonotonicClock::now(), context_.client_budget, bytes);
     return memory && early_requests_.Add(request, respond, *std::move(memory));
   }
 
