Soak: stop the load for certain

The load timer had expired when the load was switched off; its handler was queued, submitted a job and set the timer again, so that some job was always open. The handler checks whether the load is on.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -107,6 +107,7 @@
   Clients clients_;
   Clients readiness_;
   size_t open_ = 0;
+  bool load_on_ = false;
 };
 
 void Callers::Impl::PollReadiness() {
@@ -129,6 +130,7 @@
 
 void Callers::Impl::SetLoad(bool on) {
   load_timer_.cancel();
+  load_on_ = on;
   if (on) {
     ScheduleNext();
   }
@@ -140,7 +142,8 @@
   load_timer_.expires_after(Duration(static_cast<int64_t>(wait)));
   load_timer_.async_wait([weak = weak_from_this()](const ErrorCode& ec) {
     const auto self = weak.lock();
-    if (!ec && self) {
+    // The timer may have expired before it was cancelled.
+    if (!ec && self && self->load_on_) {
       self->Submit(self->settings_.path_prefix, [](bool) {});
       self->ScheduleNext();
     }
