--- a/unit_tests/client_crowd_test.cc
+++ b/unit_tests/client_crowd_test.cc
@@ -67,13 +67,14 @@
           std::string(bytes - 1 - blocks * kBlock, ' ')};
 }
 
-/// Has a crowd of callers send `script`, and checks the entry.
+/// Has a crowd at a listener of the entry send `script`, and checks the entry.
 void CheckEntryHolds(size_t clients,
                      const ClientScript& script,
-                     const DeploymentSettings& settings = {}) {
+                     const DeploymentSettings& settings = {},
+                     uint16_t port = Deployment::kCallerPort) {
   Deployment deployment(FW_PLATFORM_PROGRAM, settings);
   deployment.AwaitService();
-  Crowd crowd(deployment.entry(), Deployment::kCallerPort, clients);
+  Crowd crowd(deployment.entry(), port, clients);
   crowd.Send(script);
   deployment.CheckEntryHeld();
 }
@@ -257,27 +258,18 @@
 
 // Guards against the same crowd at the listeners that serve no callers.
 Test(client_crowd, bodies_at_the_readiness_listener) {
-  Deployment deployment(FW_PLATFORM_PROGRAM);
-  deployment.AwaitService();
-  Crowd crowd(deployment.entry(), Deployment::kReadinessPort, kClients);
-  crowd.Send(UnfinishedBody(4 * kMegabyte));
-  deployment.CheckEntryHeld();
+  CheckEntryHolds(kClients, UnfinishedBody(4 * kMegabyte), {},
+                  Deployment::kReadinessPort);
 }
 
 Test(client_crowd, bodies_at_the_listener_for_instances) {
-  Deployment deployment(FW_PLATFORM_PROGRAM);
-  deployment.AwaitService();
-  Crowd crowd(deployment.entry(), Deployment::kPeerPort, kClients);
-  crowd.Send(UnfinishedBody(8 * kMegabyte));
-  deployment.CheckEntryHeld();
+  CheckEntryHolds(kClients, UnfinishedBody(8 * kMegabyte), {},
+                  Deployment::kPeerPort);
 }
 
 Test(client_crowd, bodies_at_the_metrics_listener) {
-  Deployment deployment(FW_PLATFORM_PROGRAM);
-  deployment.AwaitService();
-  Crowd crowd(deployment.entry(), Deployment::kMetricsPort, kClients);
-  crowd.Send(UnfinishedBody(8 * kMegabyte));
-  deployment.CheckEntryHeld();
+  CheckEntryHolds(kClients, UnfinishedBody(8 * kMegabyte), {},
+                  Deployment::kMetricsPort);
 }
 
 Test(client_crowd, announcements_short_of_their_end) {
