--- a/filbertwick/platform/json_fields.cc
+++ b/filbertwick/platform/json_fields.cc
@@ -33,7 +33,7 @@
   }
   void do_deallocate(void* memory, size_t bytes, size_t alignment) override {
     bytes_left_ += bytes;
-    ::operator delete(memory, bytes, std::align_val_t(alignment));
+    ::operator delete(memory, std::align_val_t(alignment));
   }
   bool do_is_equal(const json::memory_resource& other) const noexcept override {
     return this == &other;
