--- a/unit_tests/client_budget_test.cc
+++ b/unit_tests/client_budget_test.cc
@@ -141,8 +141,10 @@
 Test(client_budget, does_not_read_ahead_when_half_is_used) {
   const auto budget = ClientBudget::Create(800);
   cr_assert(budget->MayReadAhead());
+  constexpr size_t kReservations = 10;
   std::vector<ClientReservation> reservations;
-  for (int n = 0; n < 10; ++n) {
+  reservations.reserve(kReservations);
+  for (size_t n = 0; n < kReservations; ++n) {
     reservations.push_back(*ClientReservation::Create(kStart, budget, 41));
   }
   cr_assert_not(budget->MayReadAhead());
