--- a/review/standins-2/fleet.cc
+++ b/review/standins-2/fleet.cc
@@ -646,7 +646,7 @@
                                 {"priority", 1},
                                 {"max-attempts", 3},
                                 {"stretch", 4},
-                                {"target-latency-ms", 2000}});
+                                {"target-latency-ms", 12000}});
     services.push_back(
         json::object{{"name", route.service}, {"enforces-capacity", false}});
   }
