--- a/review/standins-3/bed.py
+++ b/review/standins-3/bed.py
@@ -248,6 +248,7 @@
     def __init__(self, bed, name, host, zone, cpu):
         self.bed, self.name, self.host, self.zone = bed, name, host, zone
         self.capacity = {"cpu": cpu, "mem-mb": 262144, "gpu": 0}
+        self.labels = ["a", "r1-1"]
         self.life = 0
         self.server = None
 
@@ -292,7 +293,7 @@
                 "service": SERVICE, "address": f"{self.host}:{self.bed.ports['app']}",
                 "zone": self.zone, "version": "v1", "slots": 8,
                 "state": self.state, "cold-left-ms": 0,
-                "capacity": self.capacity, "labels": ["a", "r1-1"],
+                "capacity": self.capacity, "labels": self.labels,
                 "clock-ms": self.clock(), "seq": self.seq, "born": self.born,
             }).encode()
             reply = await call(self.host, self.bed.ports["control"], "PUT",
@@ -558,12 +559,14 @@
                 executor.lease_task.cancel()
 
 
-def job(tasks=1, ms=100, cpu=1000, spec_bytes=0, estimate=None):
+def job(tasks=1, ms=100, cpu=1000, spec_bytes=0, estimate=None, requires=None):
     spec = json.dumps({"ms": ms})
     spec += " " * max(0, spec_bytes - len(spec))
-    return json.dumps({"best-effort": True, "spec": spec, "steps": [
-        {"count": tasks, "cpu": cpu, "mem-mb": 16,
-         "estimate-ms": estimate if estimate is not None else ms}]}).encode()
+    step = {"count": tasks, "cpu": cpu, "mem-mb": 16,
+            "estimate-ms": estimate if estimate is not None else ms}
+    if requires:
+        step["requires"] = requires
+    return json.dumps({"best-effort": True, "spec": spec, "steps": [step]}).encode()
 
 
 def new_id():
