--- a/review/11/case.py
+++ b/review/11/case.py
@@ -92,7 +92,7 @@
     if bed.trouble:
         for name in bed.processes:
             bed.signal(name, signal.SIGKILL)
-        await asyncio.sleep(0.8)
+        await asyncio.sleep(0.5)
         # All machines start within 0.3 s of each other, in any order.
         for name in bed.entry_names:
             bed.launch(name)
