Datagrams above the limit are counted as defects, not as sent

Cause: InstanceNet counted a datagram as sent before it looked at its size, and reported one above the limit with the same log line as a full socket. Its caller could not learn of either, so the core counted the items as sent. The limit stood beside the socket, where neither the cores nor the test harness could use it.

Change: the encoding of a datagram and its limit move to core/direct/datagram.h. InstanceNet::Send() returns whether the datagram was sent. Two counters tell a full socket (datagrams_refused_total) from a defect (datagrams_too_large_total, log event datagram_too_large). wire::EncodedSize() counts without encoding. A list of members is divided by bytes, not by items.

--- a/filbertwick/net/datagram_port.h
+++ b/filbertwick/net/datagram_port.h
@@ -26,9 +26,6 @@
   std::function<void(bool more_left)> batch_ended;
 };
 
-/// Maximum size of a datagram, in bytes. Callers of Send() must check it.
-inline constexpr size_t kMaxDatagramBytes = 60 * 1024;
-
 /// UDP socket on one io_context that passes received datagrams to its hooks.
 /// Sending never blocks: if the socket can't take a datagram at once, the
 /// datagram is dropped, just as the network may drop one.
--- a/filbertwick/net/instance_net.cc
+++ b/filbertwick/net/instance_net.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <iterator>
 #include <ranges>
 #include <set>
 #include <utility>
@@ -30,12 +29,9 @@
 /// A sidecar that has received no EntryMessage for this long sends a
 /// MembershipMessage to the seeds and the entries that it knows.
 constexpr Duration kEntrySilenceTimeout = std::chrono::milliseconds(1500);
-/// First byte of every datagram. It must be increased whenever the encoding of
-/// the messages changes, so that instances of different releases ignore each
-/// other's datagrams instead of decoding them incorrectly.
-constexpr char kProtocolVersion = 4;
-/// Maximum number of members in one message, so that it fits into one packet.
-constexpr size_t kMembersPerMessage = 24;
+/// Size of the members in one MembershipMessage, in bytes, so that it fits into
+/// one packet. A single member may exceed it.
+constexpr size_t kMembersBytes = 1100;
 
 }  // namespace
 
@@ -68,10 +64,9 @@
   /// Stops all traffic. The timer's handler does nothing once there is no port.
   void Close() { port_.reset(); }
 
-  void Send(const InstanceName& to, const Datagram& datagram) {
-    if (const Member* member = members_.Find(to)) {
-      SendToHost(member->host, datagram);
-    }
+  bool Send(const InstanceName& to, const Datagram& datagram) {
+    const Member* member = members_.Find(to);
+    return member != nullptr && SendToHost(member->host, datagram);
   }
 
   void AddMember(const Member& member, bool self_reported) {
@@ -108,30 +103,41 @@
   InstanceTraffic TakeTraffic() { return std::exchange(traffic_, {}); }
 
  private:
-  void SendToHost(const std::string& host, const Datagram& datagram) {
+  /// Returns false when the datagram was not sent.
+  bool SendToHost(const std::string& host, const Datagram& datagram) {
     boost::system::error_code ec;
     const auto address = asio::ip::make_address(host, ec);
-    std::string bytes(1, kProtocolVersion);
-    bytes += wire::EncodeValue(datagram);
+    const std::string bytes = core::direct::EncodeDatagram(datagram);
+    if (bytes.size() > core::direct::kMaxDatagramBytes) {
+      // Whoever composes a message keeps to the limit, so this is a defect.
+      ++traffic_.datagrams_too_large;
+      LogNotSent("datagram_too_large", host, datagram, bytes.size());
+      return false;
+    }
+    if (ec || !port_->Send(Udp::endpoint(address, settings_.port), bytes)) {
+      ++traffic_.datagrams_refused;
+      LogNotSent("datagram_not_sent", host, datagram, bytes.size());
+      return false;
+    }
     ++traffic_.datagrams_sent;
     traffic_.bytes_sent += bytes.size();
-    if (ec || bytes.size() > kMaxDatagramBytes ||
-        !port_->Send(Udp::endpoint(address, settings_.port), bytes)) {
-      hooks_.log(LogLine("datagram_not_sent")
-                     .Add("host", host)
-                     .Add("bytes", static_cast<int64_t>(bytes.size())));
-    }
+    return true;
+  }
+
+  void LogNotSent(std::string_view event,
+                  const std::string& host,
+                  const Datagram& datagram,
+                  size_t bytes) const {
+    hooks_.log(LogLine(event)
+                   .Add("host", host)
+                   .Add("kind", core::direct::KindOf(datagram))
+                   .Add("bytes", static_cast<int64_t>(bytes)));
   }
 
   void HandleDatagram(const Udp::endpoint& from, std::string_view bytes) {
     ++traffic_.datagrams_received;
     traffic_.bytes_received += bytes.size();
-    const bool same_version =
-        !bytes.empty() && bytes.front() == kProtocolVersion;
-    auto datagram =
-        same_version
-            ? wire::DecodeValue<Datagram>(bytes.substr(1))
-            : absl::FailedPreconditionError("another protocol version");
+    auto datagram = core::direct::DecodeDatagram(bytes);
     if (!datagram.ok()) {
       hooks_.log(LogLine("datagram_unreadable")
                      .Add("host", from.address().to_string())
@@ -193,16 +199,19 @@
   }
 
   void SendMembers(const std::string& host) {
-    std::vector<Member> all;
-    std::ranges::copy(members_.all() | std::views::values,
-                      std::back_inserter(all));
-    for (size_t n = 0; n < all.size(); n += kMembersPerMessage) {
-      MembershipMessage message = MakeMembershipMessage();
-      const size_t end = std::min(all.size(), n + kMembersPerMessage);
-      message.members.assign(all.begin() + static_cast<ptrdiff_t>(n),
-                             all.begin() + static_cast<ptrdiff_t>(end));
-      SendToHost(host, message);
+    MembershipMessage message = MakeMembershipMessage();
+    size_t bytes = 0;
+    for (const Member& member : members_.all() | std::views::values) {
+      const size_t member_bytes = wire::EncodedSize(member);
+      if (!message.members.empty() && bytes + member_bytes > kMembersBytes) {
+        SendToHost(host, message);
+        message.members.clear();
+        bytes = 0;
+      }
+      message.members.push_back(member);
+      bytes += member_bytes;
     }
+    SendToHost(host, message);
   }
 
   void SendGossip() {
@@ -254,8 +263,8 @@
   return std::unique_ptr<InstanceNet>(new InstanceNet(std::move(impl)));
 }
 
-void InstanceNet::Send(const InstanceName& to, const Datagram& datagram) {
-  impl_->Send(to, datagram);
+bool InstanceNet::Send(const InstanceName& to, const Datagram& datagram) {
+  return impl_->Send(to, datagram);
 }
 void InstanceNet::AddMember(const Member& member) {
   impl_->AddMember(member, false);
--- a/filbertwick/net/instance_net.h
+++ b/filbertwick/net/instance_net.h
@@ -25,6 +25,10 @@
   uint64_t bytes_received = 0;
   uint64_t datagrams_sent = 0;
   uint64_t bytes_sent = 0;
+  /// Datagrams that the socket did not take.
+  uint64_t datagrams_refused = 0;
+  /// Datagrams above core::direct::kMaxDatagramBytes, each of them a defect.
+  uint64_t datagrams_too_large = 0;
   /// Shortest time from the sending of an EntryMessage until a SidecarMessage
   /// that echoes it was handled, which is about a round trip; unset when none
   /// was handled.
@@ -92,8 +96,10 @@
       InstanceNetHooks hooks);
   ~InstanceNet();
 
-  /// Sends a datagram to a member. Dropped if the member is unknown.
-  void Send(const InstanceName& to, const core::direct::Datagram& datagram);
+  /// Sends a datagram to a member. Returns false if it was not sent: the member
+  /// is unknown, the socket is full or the datagram is too large. True does not
+  /// mean that it arrives.
+  bool Send(const InstanceName& to, const core::direct::Datagram& datagram);
   /// Adds a member that was not reported by its own datagrams, such as one read
   /// from the platform's store. Ignored if the same or a later incarnation of
   /// it is known.
--- a/filbertwick/platform/load_monitor.cc
+++ b/filbertwick/platform/load_monitor.cc
@@ -28,6 +28,8 @@
         loop_delay_(counters.GetHistogram("event_loop_delay_seconds")),
         received_(counters.Get("datagrams_received_total")),
         bytes_sent_(counters.Get("datagram_bytes_sent_total")),
+        refused_(counters.Get("datagrams_refused_total")),
+        too_large_(counters.Get("datagrams_too_large_total")),
         hooks_(std::move(hooks)) {
     if (hooks_.entry_overload != nullptr) {
       own_delay_ = &counters.GetHistogram("entry_own_delay_seconds");
@@ -73,6 +75,8 @@
     const net::InstanceTraffic traffic = hooks_.take_traffic();
     received_.Add(traffic.datagrams_received);
     bytes_sent_.Add(traffic.bytes_sent);
+    refused_.Add(traffic.datagrams_refused);
+    too_large_.Add(traffic.datagrams_too_large);
     round_trip_ = traffic.shortest_echo.value_or(Duration(0));
     traffic_.datagrams_received += traffic.datagrams_received;
     traffic_.bytes_received += traffic.bytes_received;
@@ -118,6 +122,8 @@
   Histogram& loop_delay_;
   Counter& received_;
   Counter& bytes_sent_;
+  Counter& refused_;
+  Counter& too_large_;
   const LoadMonitorHooks hooks_;
   /// When the timer should expire.
   Instant due_;
--- a/filbertwick/platform/peer_service.cc
+++ b/filbertwick/platform/peer_service.cc
@@ -77,8 +77,8 @@
     return absl::OkStatus();
   }
 
-  void Send(const InstanceName& to, const core::direct::Datagram& datagram) {
-    network_->Send(to, datagram);
+  bool Send(const InstanceName& to, const core::direct::Datagram& datagram) {
+    return network_->Send(to, datagram);
   }
   void Reload(const PlatformSettings& settings) {
     network_->SetSeeds(settings.seeds);
@@ -253,9 +253,9 @@
   return std::unique_ptr<PeerService>(new PeerService(std::move(impl)));
 }
 
-void PeerService::Send(const InstanceName& to,
+bool PeerService::Send(const InstanceName& to,
                        const core::direct::Datagram& datagram) {
-  impl_->Send(to, datagram);
+  return impl_->Send(to, datagram);
 }
 void PeerService::Reload(const PlatformSettings& settings) {
   impl_->Reload(settings);
--- a/filbertwick/platform/peer_service.h
+++ b/filbertwick/platform/peer_service.h
@@ -64,8 +64,9 @@
       PeerServiceHooks hooks);
   ~PeerService();
 
-  /// Sends a datagram to an instance; dropped when the instance is unknown.
-  void Send(const InstanceName& to, const core::direct::Datagram& datagram);
+  /// Sends a datagram to an instance. Returns false when it was not sent; see
+  /// net::InstanceNet::Send().
+  bool Send(const InstanceName& to, const core::direct::Datagram& datagram);
   /// Replaces the seeds by those of `settings`.
   void Reload(const PlatformSettings& settings);
   /// Client of the platform's store; valid as long as this object.
--- a/filbertwick/wire/archive.h
+++ b/filbertwick/wire/archive.h
@@ -3,6 +3,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <array>
 #include <cereal/cereal.hpp>
 #include <cereal/types/chrono.hpp>
 #include <cereal/types/common.hpp>
@@ -31,26 +32,42 @@
     : public cereal::OutputArchive<OutputArchive,
                                    cereal::AllowEmptyClassElision> {
  public:
-  OutputArchive() : cereal::OutputArchive<OutputArchive, 1>(this) {}
+  /// Whether the archive keeps what is written to it, or only counts it.
+  enum class Mode { kWrite, kCount };
+
+  explicit OutputArchive(Mode mode = Mode::kWrite)
+      : cereal::OutputArchive<OutputArchive, 1>(this), mode_(mode) {}
 
   /// Appends raw bytes.
   void SaveBytes(const void* data, size_t n) {
-    bytes_.append(static_cast<const char*>(data), n);
+    size_ += n;
+    if (mode_ == Mode::kWrite) {
+      bytes_.append(static_cast<const char*>(data), n);
+    }
   }
 
   /// Appends an unsigned varint.
   void SaveVarint(uint64_t value) {
+    std::array<char, kMaxVarintBytes> varint;
+    size_t n = 0;
     while (value >= 0x80) {
-      bytes_.push_back(static_cast<char>(value | 0x80));
+      varint[n++] = static_cast<char>(value | 0x80);
       value >>= 7;
     }
-    bytes_.push_back(static_cast<char>(value));
+    varint[n++] = static_cast<char>(value);
+    SaveBytes(varint.data(), n);
   }
 
-  /// Bytes written so far.
+  /// Bytes written so far; empty if they are only counted.
   std::string& bytes() { return bytes_; }
+  /// Number of bytes written or counted so far.
+  size_t size() const { return size_; }
 
  private:
+  static constexpr size_t kMaxVarintBytes = 10;
+
+  const Mode mode_;
+  size_t size_ = 0;
   std::string bytes_;
 };
 
@@ -190,6 +207,14 @@
   return std::move(archive.bytes());
 }
 
+/// Returns the number of bytes that EncodeValue() would return.
+template <typename Value>
+size_t EncodedSize(const Value& value) {
+  OutputArchive archive(OutputArchive::Mode::kCount);
+  archive(value);
+  return archive.size();
+}
+
 /// Decodes a value; InvalidArgument for malformed input or trailing bytes.
 template <typename Value>
 absl::StatusOr<Value> DecodeValue(std::string_view bytes) {
--- a/unit_tests/instance_net_test.cc
+++ b/unit_tests/instance_net_test.cc
@@ -147,3 +147,57 @@
   events.WaitFor("datagram_unreadable");
   loop.Stop();
 }
+
+// A datagram above the limit is a defect of whoever composed it: it is counted
+// and reported, and does not count as sent.
+Test(instance_net, reports_a_datagram_that_is_too_large) {
+  LoopThread loop;
+  EventLog events;
+  const uint16_t port = FreePort();
+  auto entry = CreateNet(
+      loop, events, {{InstanceName("entry"), 1}, true, kEntryHost}, port, {});
+  loop.Run([&] {
+    entry->AddMember({{InstanceName("sidecar"), 1}, false, kSidecarHost});
+    EntryMessage message;
+    message.from = {InstanceName("entry"), 1};
+    cr_assert(entry->Send(InstanceName("sidecar"), message));
+    message.offers.resize(1);
+    message.offers.front().spec.assign(64 * 1024, 's');
+    (void)entry->TakeTraffic();
+    cr_assert_not(entry->Send(InstanceName("sidecar"), message));
+    const auto traffic = entry->TakeTraffic();
+    cr_assert_eq(traffic.datagrams_too_large, 1);
+    cr_assert_eq(traffic.datagrams_sent, 0);
+    cr_assert_eq(traffic.bytes_sent, 0);
+  });
+  events.WaitFor("datagram_too_large");
+  loop.Stop();
+}
+
+// The list of a large fleet is sent in messages of one packet each.
+Test(instance_net, sends_a_list_of_1900_members) {
+  LoopThread loop;
+  EventLog events;
+  const uint16_t port = FreePort();
+  auto first = CreateNet(
+      loop, events, {{InstanceName("first"), 1}, true, kEntryHost}, port, {});
+  loop.Run([&] {
+    for (int n = 0; n < 1900; ++n) {
+      first->AddMember({{InstanceName("sidecar-" + std::to_string(n)), 1},
+                        false,
+                        "127.0.1.1"});
+    }
+    (void)first->TakeTraffic();
+  });
+  auto second =
+      CreateNet(loop, events, {{InstanceName("second"), 1}, true, kSidecarHost},
+                port, {kEntryHost});
+  events.WaitFor("second knows sidecar-0");
+  events.WaitFor("second knows sidecar-1899");
+  loop.Run([&] {
+    const auto traffic = first->TakeTraffic();
+    cr_assert_eq(traffic.datagrams_too_large, 0);
+    cr_assert_leq(traffic.bytes_sent, traffic.datagrams_sent * 1400);
+  });
+  loop.Stop();
+}
