--- a/filbertwick/core/direct/direct_sidecar.cc
+++ b/filbertwick/core/direct/direct_sidecar.cc
@@ -6,6 +6,8 @@
 /// How long a crash is sent with every message; entries that restart learn of
 /// it as well.
 constexpr Duration kCrashMemory = std::chrono::seconds(10);
+/// Pause before what the socket has not taken is sent again.
+constexpr Duration kSocketRetryDelay = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -62,8 +64,7 @@
                                       const Offer& offer) {
   if (const OfferReply* earlier_reply =
           SessionTable::FindReply(session, offer.id)) {
-    session.pending_replies.push_back(*earlier_reply);
-    session.send_due = true;
+    SessionTable::AddPendingReply(session, *earlier_reply);
     return;
   }
   const bool is_fresh =
@@ -219,7 +220,8 @@
   ExpireSilentSessions(now);
   for (Session& session : sessions_.all() | std::views::values) {
     session.send_due |=
-        !session.ends.empty() && now >= session.ends_resend.due();
+        (!session.ends.empty() && now >= session.ends_resend.due()) ||
+        now >= session.retry_at;
   }
   CheckCandidates(now);
   if (!upstream_ || state_ == UpstreamState::kNoUpstream) {
@@ -237,6 +239,7 @@
     if (!session.ends.empty() && !session.timed_out) {
       note_due(session.ends_resend.due());
     }
+    note_due(session.retry_at);
     if (!session.timed_out) {
       note_due(session.last_alive + settings_.times.session_timeout +
                Duration(1));
@@ -276,42 +279,83 @@
   }
   GrantFreeCapacity(now);
   for (Session& session : sessions_.all() | std::views::values) {
-    if (!session.send_due) {
-      continue;
-    }
-    session.send_due = false;
-    // The ends themselves serve as the request for an answer.
-    if (session.ends_resend.ActionAt(now, session.last_alive) ==
-        policy::ResendTimer::Action::kProbe) {
-      session.ends_resend.Probed();
-    } else {
-      session.ends_resend.Sent(now, settings_.resend_interval);
-    }
-    SidecarMessage message;
-    message.from = self_;
-    message.to_incarnation = session.entry.incarnation;
-    message.echoed_sent_at = session.echoed_sent_at;
-    message.clock = ToMicros(now);
-    message.control = control_;
-    message.accepts_tasks = AcceptsTasks();
-    if (upstream_) {
-      message.upstream = upstream_->profile;
-      message.free = grants_.FreeFor(session.entry.name, run_table_.Free());
-      message.granted = grants_.HasReservation(session.entry.name);
+    if (session.send_due) {
+      SendMessages(now, session);
     }
-    message.replies = std::exchange(session.pending_replies, {});
-    message.ends.assign(session.ends.begin(), session.ends.end());
-    if (crash_.number > 0 && now - crash_noticed_at_ < kCrashMemory) {
-      message.crash = crash_;
-      message.crash.age_micros = (now - crash_noticed_at_).count();
-    }
-    effects_.push_back(
-        SendToEntryEffect{session.entry.name, std::move(message)});
   }
   std::ranges::move(effects_, std::back_inserter(effects));
   effects_.clear();
 }
 
+SidecarMessage DirectSidecar::Impl::ComposeMessage(Instant now,
+                                                   const Session& session) {
+  SidecarMessage message;
+  message.from = self_;
+  message.to_incarnation = session.entry.incarnation;
+  message.echoed_sent_at = session.echoed_sent_at;
+  message.clock = ToMicros(now);
+  message.control = control_;
+  message.accepts_tasks = AcceptsTasks();
+  if (upstream_) {
+    message.upstream = upstream_->profile;
+    message.free = grants_.FreeFor(session.entry.name, run_table_.Free());
+    message.granted = grants_.HasReservation(session.entry.name);
+  }
+  if (crash_.number > 0 && now - crash_noticed_at_ < kCrashMemory) {
+    message.crash = crash_;
+    message.crash.age_micros = (now - crash_noticed_at_).count();
+  }
+  return message;
+}
+
+void DirectSidecar::Impl::SendMessages(Instant now, Session& session) {
+  session.send_due = false;
+  session.retry_at = Instant::max();
+  // The ends themselves serve as the request for an answer.
+  if (session.ends_resend.ActionAt(now, session.last_alive) ==
+      policy::ResendTimer::Action::kProbe) {
+    session.ends_resend.Probed();
+  } else {
+    session.ends_resend.Sent(now, settings_.resend_interval);
+  }
+  SidecarMessage message = ComposeMessage(now, session);
+  const size_t fixed_bytes =
+      session.ends.empty() && session.pending_replies.empty()
+          ? 0
+          : wire::EncodedSize(message);
+  policy::MessageBudget budget(fixed_bytes);
+  // Ends come first: the entry places the freed capacity, and callers wait.
+  SessionTable::CopyEnds(session, budget, message.ends);
+  SessionTable::TakeReplies(session, budget, message.replies);
+  effects_.push_back(SendToEntryEffect{session.entry.name, std::move(message)});
+  while (!session.pending_replies.empty()) {
+    message = ComposeMessage(now, session);
+    budget = policy::MessageBudget(fixed_bytes);
+    SessionTable::TakeReplies(session, budget, message.replies);
+    effects_.push_back(
+        SendToEntryEffect{session.entry.name, std::move(message)});
+  }
+}
+
+void DirectSidecar::Impl::OnNotSent(Instant now,
+                                    const InstanceName& to,
+                                    const SidecarMessage& message) {
+  const auto it = sessions_.all().find(to);
+  if (it == sessions_.all().end() ||
+      it->second.entry.incarnation != message.to_incarnation) {
+    return;
+  }
+  Session& session = it->second;
+  for (const OfferReply& reply : message.replies) {
+    SessionTable::AddPendingReply(session, reply);
+  }
+  session.send_due = false;
+  session.retry_at = now + kSocketRetryDelay;
+  if (!message.ends.empty()) {
+    session.ends_resend.NotSent(session.retry_at);
+  }
+}
+
 DirectSidecar::DirectSidecar(std::unique_ptr<Impl> impl)
     : impl_(std::move(impl)) {}
 
@@ -334,6 +378,12 @@
   impl_->FlushEffects(now, effects);
 }
 
+void DirectSidecar::OnNotSent(Instant now,
+                              const InstanceName& to,
+                              const SidecarMessage& message) {
+  impl_->OnNotSent(now, to, message);
+}
+
 void DirectSidecar::OnUpstreamAnnounced(
     Instant now,
     const UpstreamAnnouncement& announcement,
--- a/filbertwick/core/direct/direct_sidecar.h
+++ b/filbertwick/core/direct/direct_sidecar.h
@@ -57,6 +57,11 @@
   void OnMessage(Instant now,
                  const EntryMessage& message,
                  SidecarEffects& effects);
+  /// Reports that a message among the effects was not sent, so that its items
+  /// do not count as sent.
+  void OnNotSent(Instant now,
+                 const InstanceName& to,
+                 const SidecarMessage& message);
   /// Handles an announcement. Any writer may send one, and one of an earlier
   /// incarnation may arrive late, so the announced process becomes the upstream
   /// only when it answers at the upstream's address with the announced id and
--- a/filbertwick/core/direct/direct_sidecar_impl.h
+++ b/filbertwick/core/direct/direct_sidecar_impl.h
@@ -17,6 +17,8 @@
 #include "filbertwick/core/direct/direct_sidecar.h"
 #include "filbertwick/core/direct/run_table.h"
 #include "filbertwick/core/direct/session_table.h"
+#include "filbertwick/core/policy/message_budget.h"
+#include "filbertwick/wire/archive.h"
 
 namespace filbertwick::core::direct {
 
@@ -96,6 +98,9 @@
         fencing_token_(first_token) {}
 
   void OnMessage(Instant now, const EntryMessage& message);
+  void OnNotSent(Instant now,
+                 const InstanceName& to,
+                 const SidecarMessage& message);
   void OnUpstreamAnnounced(Instant now,
                            const UpstreamAnnouncement& announcement);
   void RestoreUpstream(Instant now, const UpstreamAnnouncement& recorded);
@@ -163,6 +168,10 @@
   void StopRunsOf(Instant now, const Peer& owner);
   void StopRunsOfOtherIncarnations(Instant now, const Peer& current);
   void ExpireSilentSessions(Instant now);
+  /// Returns a message to the entry of a session, without ends and replies.
+  SidecarMessage ComposeMessage(Instant now, const Session& session);
+  /// Sends the ends and replies that are due to the entry of a session.
+  void SendMessages(Instant now, Session& session);
   /// Ends the grants whose lease is over, and reports their capacity to all
   /// entries that claim any.
   void ExpireGrants(Instant now);
--- a/filbertwick/core/direct/session_table.cc
+++ b/filbertwick/core/direct/session_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "filbertwick/wire/archive.h"
+
 namespace filbertwick::core::direct {
 namespace {
 
@@ -58,10 +60,47 @@
   if (session.recent_replies.size() > kMaxRecentReplies) {
     session.recent_replies.pop_front();
   }
+  AddPendingReply(session, std::move(reply));
+}
+
+void SessionTable::AddPendingReply(Session& session, OfferReply reply) {
+  session.pending_reply_bytes += wire::EncodedSize(reply);
   session.pending_replies.push_back(std::move(reply));
+  while (session.pending_reply_bytes > kMaxPendingReplyBytes &&
+         session.pending_replies.size() > 1) {
+    session.pending_reply_bytes -=
+        wire::EncodedSize(session.pending_replies.front());
+    session.pending_replies.pop_front();
+  }
   session.send_due = true;
 }
 
+void SessionTable::TakeReplies(Session& session,
+                               policy::MessageBudget& budget,
+                               std::vector<OfferReply>& replies) {
+  while (!session.pending_replies.empty()) {
+    const size_t bytes = wire::EncodedSize(session.pending_replies.front());
+    if (!budget.Take(bytes)) {
+      return;
+    }
+    session.pending_reply_bytes -= bytes;
+    replies.push_back(std::move(session.pending_replies.front()));
+    session.pending_replies.pop_front();
+  }
+}
+
+void SessionTable::CopyEnds(Session& session,
+                            policy::MessageBudget& budget,
+                            std::vector<RunEnd>& ends) {
+  for (const RunEnd& end : session.ends) {
+    if (!budget.Take(wire::EncodedSize(end))) {
+      return;
+    }
+    ends.push_back(end);
+    session.last_sent_end = std::max(session.last_sent_end, end.number);
+  }
+}
+
 void SessionTable::AddEnd(Session& session, RunEnd end) {
   end.number = ++session.last_end_number;
   session.ends.push_back(std::move(end));
@@ -72,6 +111,8 @@
   while (!session.ends.empty() && session.ends.front().number <= up_to) {
     session.ends.pop_front();
   }
+  session.send_due |= !session.ends.empty() &&
+                      session.ends.back().number > session.last_sent_end;
 }
 
 }  // namespace filbertwick::core::direct
--- a/filbertwick/core/policy/resend_timer.h
+++ b/filbertwick/core/policy/resend_timer.h
@@ -35,6 +35,11 @@
     sent_at_ = now;
     due_ = now + interval;
   }
+  /// Records that the item was not sent after all; it is due again at `retry`.
+  void NotSent(Instant retry) {
+    sent_at_ = Instant::min();
+    due_ = retry;
+  }
   /// Records a request for an answer. Nothing is due until Answered().
   void Probed() { due_ = Instant::max(); }
   /// Records that the peer has received the messages sent up to `echo`. Returns
--- a/filbertwick/platform/sidecar_node.cc
+++ b/filbertwick/platform/sidecar_node.cc
@@ -152,7 +152,11 @@
     grants_lapsed_.Set(grants.lapsed);
     grants_declined_.Set(grants.declined);
     grant_refusals_.Set(grants.refused);
-    peer_service_->Send(effect.to, std::move(effect.message));
+    const core::direct::Datagram datagram(std::move(effect.message));
+    if (!peer_service_->Send(effect.to, datagram)) {
+      core().OnNotSent(MonotonicClock::now(), effect.to,
+                       std::get<core::direct::SidecarMessage>(datagram));
+    }
   }
   void Perform(const LogLine& line) { context_.log(line); }
   void Perform(const StartCommand& command) {
--- a/unit_tests/direct_sidecar_test.cc
+++ b/unit_tests/direct_sidecar_test.cc
@@ -1,17 +1,22 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "filbertwick/core/direct/datagram.h"
+#include "filbertwick/core/policy/message_budget.h"
 #include "unit_tests/direct_sidecar_fixture.h"
 
 namespace {
 
 using namespace filbertwick::core::direct;
 using filbertwick::Duration;
+using filbertwick::InstanceName;
 using filbertwick::Instant;
+using filbertwick::core::policy::kMessageBytes;
 using filbertwick::test::kMilli;
 using filbertwick::test::kTaskCpu;
 using filbertwick::test::OneRefusal;
@@ -389,3 +394,91 @@
                  end.run.task == "a" ? EndKind::kCrashed : EndKind::kLost);
   }
 }
+
+// An entry that stood still with thousands of runs open got all their ends in
+// each message. Above the limit of a datagram none arrived, and the entry was
+// never ready again.
+Test(direct_sidecar, sends_ends_above_a_datagram_in_several_messages) {
+  Fixture it;
+  constexpr uint64_t kRuns = 3000;
+  EntryMessage stops = it.Message();
+  for (uint64_t n = 1; n <= kRuns; ++n) {
+    stops.stops.push_back({"0123456789abcdef.0.0." + std::to_string(n), 1});
+  }
+  it.sidecar->OnMessage(it.now, stops, it.ClearedEffects());
+  it.Collect();
+  uint64_t acknowledged = 0;
+  for (int round = 0; round < 50 && acknowledged < kRuns; ++round) {
+    cr_assert_leq(EncodedDatagramSize(it.last_message), kMaxDatagramBytes);
+    cr_assert(!it.last_message.ends.empty());
+    // No number is left out: the acknowledgement covers all lower ones.
+    for (const RunEnd& end : it.last_message.ends) {
+      cr_assert_eq(end.number, ++acknowledged);
+    }
+    EntryMessage answer = it.Message();
+    answer.acknowledged_end = acknowledged;
+    it.last_message = SidecarMessage();
+    it.sidecar->OnMessage(it.now, answer, it.ClearedEffects());
+    it.Collect();
+  }
+  cr_assert_eq(acknowledged, kRuns);
+}
+
+// Hundreds of offers that arrive together are answered in several messages.
+Test(direct_sidecar, sends_replies_above_a_message_in_several) {
+  Fixture it;
+  EntryMessage message = it.Message();
+  constexpr uint64_t kOffers = 60;
+  constexpr size_t kTasks = 900;
+  for (uint64_t n = 1; n <= kOffers; ++n) {
+    filbertwick::core::direct::Offer offer;
+    offer.id = n;
+    offer.service = "service";
+    for (size_t task = 0; task < kTasks; ++task) {
+      offer.tasks.push_back(
+          {{std::to_string(n) + "." + std::to_string(task), 1},
+           {64 * kTaskCpu, 10, 0},
+           100'000});
+    }
+    message.offers.push_back(std::move(offer));
+  }
+  it.sidecar->OnMessage(it.now, message, it.ClearedEffects());
+  std::set<uint64_t> answered;
+  for (const SidecarEffect& effect : it.effects) {
+    if (const auto* send = std::get_if<SendToEntryEffect>(&effect)) {
+      cr_assert_leq(EncodedDatagramSize(send->message), 2 * kMessageBytes);
+      for (const OfferReply& reply : send->message.replies) {
+        cr_assert_eq(reply.refusals.size(), kTasks);
+        answered.insert(reply.id);
+      }
+    }
+  }
+  cr_assert_eq(answered.size(), kOffers);
+}
+
+// A message that the socket does not take is sent again without being asked
+// for.
+Test(direct_sidecar, sends_again_what_the_socket_has_not_taken) {
+  Fixture it;
+  cr_assert_eq(it.Offer({"a"}), OneRefusal(Refusal::kNone));
+  const SidecarMessage lost = it.last_message;
+  it.last_message = SidecarMessage();
+  it.sidecar->OnNotSent(it.now, InstanceName("entry"), lost);
+  it.AdvanceTime(20 * kMilli);
+  cr_assert_eq(it.last_message.replies.size(), 1);
+}
+
+// Every message to an entry contains the profile, which any writer may send.
+Test(direct_sidecar, rejects_a_profile_that_fills_its_messages) {
+  Fixture it;
+  UpstreamAnnouncement announcement =
+      Fixture::MakeAnnouncement("up-1", 5, 9, false);
+  announcement.profile.labels.assign(1000, "label-" + std::string(100, 'x'));
+  it.Deliver(announcement);
+  EntryMessage question = it.Message();
+  question.wants_reply = true;
+  it.sidecar->OnMessage(it.now, question, it.ClearedEffects());
+  it.Collect();
+  cr_assert(it.last_message.accepts_tasks);
+  cr_assert(it.last_message.upstream.labels.empty());
+}
