The fixed parts of a sidecar's message are bounded in bytes

Cause: every message to an entry contains the profile of the upstream and, for some seconds, the notice of a crash. The texts of both come from other writers and from the configuration, and had no limit: a heartbeat with 100 KB of labels would have made every message of the sidecar too large to be sent.

The log line repeats at most 256 bytes of the service.

Measured: rejects_a_profile_that_fills_its_messages failed before (the labels were in the message), passes now.

--- a/filbertwick/core/direct/direct_sidecar_incarnation.cc
+++ b/filbertwick/core/direct/direct_sidecar_incarnation.cc
@@ -9,6 +9,11 @@
 /// Most candidates at a time. Announcements may come from any writer, so this
 /// bounds their memory and the identity checks.
 constexpr size_t kMaxCandidates = 8;
+/// Maximum encoded size of an upstream's profile, in bytes. Every message to an
+/// entry contains it.
+constexpr size_t kMaxProfileBytes = 4 * 1024;
+/// Most bytes of a service that a log line repeats.
+constexpr size_t kMaxLoggedBytes = 256;
 
 bool IsSameIncarnation(const UpstreamAnnouncement& a,
                        const UpstreamAnnouncement& b) {
@@ -20,6 +25,10 @@
 void DirectSidecar::Impl::OnUpstreamAnnounced(
     Instant now,
     const UpstreamAnnouncement& announcement) {
+  if (wire::EncodedSize(announcement.profile) > kMaxProfileBytes) {
+    LogRejectedAnnouncement(announcement, "profile_above_4096_bytes");
+    return;
+  }
   if (upstream_ && state_ != UpstreamState::kNoUpstream &&
       announcement.id == upstream_->id &&
       announcement.started_unix_millis == upstream_->started_unix_millis) {
@@ -70,7 +79,8 @@
 void DirectSidecar::Impl::RestoreUpstream(
     Instant now,
     const UpstreamAnnouncement& recorded) {
-  if (upstream_ || recorded.draining || recorded.started_unix_millis == 0) {
+  if (upstream_ || recorded.draining || recorded.started_unix_millis == 0 ||
+      wire::EncodedSize(recorded.profile) > kMaxProfileBytes) {
     return;
   }
   UpstreamAnnouncement silent = recorded;
@@ -189,7 +199,8 @@
     std::string_view cause) {
   effects_.push_back(LogLine("announcement_rejected")
                          .Add("upstream", announcement.id)
-                         .Add("service", announcement.profile.service)
+                         .Add("service", announcement.profile.service.substr(
+                                             0, kMaxLoggedBytes))
                          .Add("born", announcement.started_unix_millis)
                          .Add("cause", cause));
 }
--- a/filbertwick/core/direct/direct_sidecar_losses.cc
+++ b/filbertwick/core/direct/direct_sidecar_losses.cc
@@ -9,6 +9,9 @@
 /// Most tasks of a crash notice. More are started at a time only by a wide job,
 /// whose tasks are alike.
 constexpr size_t kMaxCrashSuspects = 8;
+/// Maximum encoded size of these tasks, in bytes. Every message to an entry
+/// contains them for some seconds.
+constexpr size_t kMaxCrashSuspectBytes = 4 * 1024;
 /// Most tasks that one log line names; bounds the line.
 constexpr size_t kMaxLoggedTasks = 64;
 
@@ -23,10 +26,17 @@
       listings_failing_since_ ? listings_broken_at_ : now;
   ++crash_.number;
   crash_.suspects.clear();
+  size_t bytes = 0;
   for (const ActiveRun& run : runs) {
-    if (run.seen_running && run.start_sent_at >= crashed_at - kCrashSuspicion &&
-        crash_.suspects.size() < kMaxCrashSuspects) {
-      crash_.suspects.push_back({run.id.task, run.queue});
+    if (!run.seen_running || run.start_sent_at < crashed_at - kCrashSuspicion ||
+        crash_.suspects.size() == kMaxCrashSuspects) {
+      continue;
+    }
+    CrashSuspect suspect = {run.id.task, run.queue};
+    const size_t suspect_bytes = wire::EncodedSize(suspect);
+    if (bytes + suspect_bytes <= kMaxCrashSuspectBytes) {
+      bytes += suspect_bytes;
+      crash_.suspects.push_back(std::move(suspect));
     }
   }
   crash_noticed_at_ = now;
