--- a/filbertwick/core/direct/job_handover.cc
+++ b/filbertwick/core/direct/job_handover.cc
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <ranges>
 
+#include "filbertwick/wire/archive.h"
+
 namespace filbertwick::core::direct {
 namespace {
 
@@ -17,16 +19,35 @@
 /// An entry whose incarnation others report differently is asked for it while
 /// it was heard within this time.
 constexpr Duration kSilence = std::chrono::seconds(1);
-/// Limit of the jobs in one message, in bytes of their specs.
-constexpr size_t kMaxSpecBytesPerMessage = 16 * 1024;
-/// Encoded size of a job without its spec, for that limit; about what a job of
-/// a few steps takes.
-constexpr size_t kJobOverheadBytes = 200;
 /// Time for the target's last answer to reach the origin before the caller's
 /// time limit.
 constexpr Duration kAnswerReserve = std::chrono::milliseconds(10);
-/// Messages to one entry at a time; the rest follows with the next event.
+/// Most messages to one entry at a time, and the pause after them while more is
+/// waiting.
 constexpr int kMaxMessagesAtOnce = 8;
+constexpr Duration kBurstPause = std::chrono::milliseconds(2);
+/// Pause before what the socket has not taken is sent again.
+constexpr Duration kSocketRetryDelay = std::chrono::milliseconds(20);
+/// Most jobs at one target that have not ended or whose withdrawal is not
+/// confirmed. Every message contains all withdrawals, which must fit beside the
+/// items that draw from its budget.
+constexpr size_t kMaxRelaysPerTarget = 1024;
+/// Maximum encoded size of a number in a message, in bytes.
+constexpr size_t kMaxNumberBytes = 10;
+static_assert(kMaxRelaysPerTarget * kMaxNumberBytes <= policy::kMaxFixedBytes);
+
+/// Moves the first of `numbers` to a message, as many as fit. Returns true when
+/// some are left.
+bool TakeNumbers(policy::MessageBudget& budget,
+                 std::vector<uint64_t>& numbers,
+                 std::vector<uint64_t>& taken) {
+  const auto end = std::ranges::find_if(numbers, [&](uint64_t number) {
+    return !budget.Take(wire::EncodedSize(number));
+  });
+  taken.assign(numbers.begin(), end);
+  numbers.erase(numbers.begin(), end);
+  return !numbers.empty();
+}
 
 }  // namespace
 
@@ -71,12 +92,13 @@
     const bool is_silent =
         !neighbour.relays.empty() && neighbour.heard_at < now - times_.lease &&
         neighbour.relays.begin()->second.handed_at < now - kProbeInterval;
-    all.push_back(
-        {name,
-         {neighbour.zone.value(), neighbour.zone == own_zone,
-          neighbour.round_trip, neighbour.load.means.processor_millis,
-          neighbour.load.pressure_percent / 100.0, now - neighbour.load_at,
-          neighbour.handed_since_load, neighbour.load.accepts && !is_silent}});
+    all.push_back({name,
+                   {neighbour.zone.value(), neighbour.zone == own_zone,
+                    neighbour.round_trip, neighbour.load.means.processor_millis,
+                    neighbour.load.pressure_percent / 100.0,
+                    now - neighbour.load_at, neighbour.handed_since_load,
+                    neighbour.load.accepts && !is_silent &&
+                        neighbour.relays.size() < kMaxRelaysPerTarget}});
   }
   return all;
 }
@@ -225,11 +247,11 @@
                              });
 }
 
-void JobHandover::AddJobs(Instant now,
+bool JobHandover::AddJobs(Instant now,
                           Neighbour& neighbour,
+                          policy::MessageBudget& budget,
                           HandoverMessage& message) {
   const bool is_fresh = IsClockFresh(now, neighbour);
-  size_t bytes = 0;
   for (const uint64_t number : neighbour.unaccepted) {
     Relay& relay = neighbour.relays.at(number);
     using Action = policy::ResendTimer::Action;
@@ -243,17 +265,38 @@
     if (action != Action::kSend || !is_fresh) {
       continue;
     }
-    if (bytes > kMaxSpecBytesPerMessage) {
-      neighbour.send_due = true;
-      return;
+    HandedJob handed = {number, relay.configuration, RemainingJob(now, relay)};
+    handed.job.time_limit -= kAnswerReserve;
+    if (!budget.Take(wire::EncodedSize(handed))) {
+      return true;
     }
-    bytes += relay.job.spec.size() + kJobOverheadBytes;
-    message.handovers.push_back(
-        {number, relay.configuration, RemainingJob(now, relay)});
-    message.handovers.back().job.time_limit -= kAnswerReserve;
+    message.handovers.push_back(std::move(handed));
     relay.was_sent = true;
     relay.resend.Sent(now, kResendInterval);
   }
+  return false;
+}
+
+bool JobHandover::AddResults(Instant now,
+                             Neighbour& neighbour,
+                             policy::MessageBudget& budget,
+                             HandoverMessage& message) {
+  for (const uint64_t number : neighbour.ended) {
+    HandedIn& job = neighbour.handed_in.at(number);
+    using Action = policy::ResendTimer::Action;
+    const Action action = job.resend.ActionAt(now, neighbour.echoed);
+    if (action == Action::kProbe) {
+      job.resend.Probed();
+      message.wants_reply = true;
+    } else if (action == Action::kSend) {
+      if (!budget.Take(wire::EncodedSize(job.result))) {
+        return true;
+      }
+      message.results.push_back(job.result);
+      job.resend.Sent(now, kResendInterval);
+    }
+  }
+  return false;
 }
 
 HandoverMessage JobHandover::Compose(Instant now, Neighbour& neighbour) {
@@ -269,23 +312,15 @@
                            : neighbour.relays.begin()->first;
   message.withdrawals.assign(neighbour.withdrawn.begin(),
                              neighbour.withdrawn.end());
-  message.acknowledged = std::exchange(neighbour.acknowledged, {});
-  message.accepted = std::exchange(neighbour.accepted, {});
   neighbour.send_due = false;
-  neighbour.send_by = Instant::max();
-  AddJobs(now, neighbour, message);
-  for (const uint64_t number : neighbour.ended) {
-    HandedIn& job = neighbour.handed_in.at(number);
-    using Action = policy::ResendTimer::Action;
-    const Action action = job.resend.ActionAt(now, neighbour.echoed);
-    if (action == Action::kSend) {
-      message.results.push_back(job.result);
-      job.resend.Sent(now, kResendInterval);
-    } else if (action == Action::kProbe) {
-      job.resend.Probed();
-      message.wants_reply = true;
-    }
-  }
+  // What ends a job comes first.
+  policy::MessageBudget budget(wire::EncodedSize(message));
+  const bool has_more =
+      TakeNumbers(budget, neighbour.acknowledged, message.acknowledged) ||
+      AddResults(now, neighbour, budget, message) ||
+      TakeNumbers(budget, neighbour.accepted, message.accepted) ||
+      AddJobs(now, neighbour, budget, message);
+  neighbour.send_by = has_more ? now : Instant::max();
   if (message.wants_reply) {
     neighbour.asked_at = now;
   }
@@ -300,6 +335,9 @@
          ++n) {
       messages.emplace_back(name, Compose(now, neighbour));
     }
+    if (neighbour.send_by <= now) {
+      neighbour.send_by = now + kBurstPause;
+    }
   }
   for (HandoverMessage& message : messages | std::views::values) {
     message.load = load;
@@ -307,6 +345,35 @@
   return messages;
 }
 
+void JobHandover::OnNotSent(Instant now,
+                            const InstanceName& to,
+                            const HandoverMessage& message) {
+  const auto it = neighbours_.find(to);
+  if (it == neighbours_.end() ||
+      it->second.peer.incarnation != message.to_incarnation) {
+    return;
+  }
+  Neighbour& neighbour = it->second;
+  const Instant retry = now + kSocketRetryDelay;
+  std::ranges::copy(message.acknowledged,
+                    std::back_inserter(neighbour.acknowledged));
+  std::ranges::copy(message.accepted, std::back_inserter(neighbour.accepted));
+  for (const HandoverResult& result : message.results) {
+    const auto job = neighbour.handed_in.find(result.number);
+    if (job != neighbour.handed_in.end()) {
+      job->second.resend.NotSent(retry);
+    }
+  }
+  for (const HandedJob& handed : message.handovers) {
+    const auto relay = neighbour.relays.find(handed.number);
+    if (relay != neighbour.relays.end()) {
+      relay->second.resend.NotSent(retry);
+    }
+  }
+  neighbour.wants_reply |= message.wants_reply;
+  neighbour.send_by = std::min(neighbour.send_by, retry);
+}
+
 Instant JobHandover::NextWakeup() const {
   Instant next =
       deadlines_.empty() ? Instant::max() : deadlines_.begin()->first;
--- a/filbertwick/core/direct/job_handover.h
+++ b/filbertwick/core/direct/job_handover.h
@@ -17,6 +17,7 @@
 #include "filbertwick/core/direct/direct_settings.h"
 #include "filbertwick/core/direct/handover.h"
 #include "filbertwick/core/policy/handover_choice.h"
+#include "filbertwick/core/policy/message_budget.h"
 #include "filbertwick/core/policy/resend_timer.h"
 
 namespace filbertwick::core::direct {
@@ -151,6 +152,10 @@
   // Time and messages.
 
   HandoverEvents OnMessage(Instant now, const HandoverMessage& message);
+  /// Reports that a message of ComposeMessages() was not sent.
+  void OnNotSent(Instant now,
+                 const InstanceName& to,
+                 const HandoverMessage& message);
   /// Returns the jobs whose origin's lease has expired. Must be called before
   /// any task is placed.
   HandoverEvents TakeExpiredLeases(Instant now);
@@ -264,7 +269,17 @@
   /// When the target counts as lost unless it is heard before; there must be a
   /// relay to it.
   Instant LossTime(const Neighbour& neighbour) const;
-  void AddJobs(Instant now, Neighbour& neighbour, HandoverMessage& message);
+  /// Adds the jobs that are due to a message, as many as fit. Returns true when
+  /// more are due.
+  bool AddJobs(Instant now,
+               Neighbour& neighbour,
+               policy::MessageBudget& budget,
+               HandoverMessage& message);
+  /// The same for the results that the target reports.
+  static bool AddResults(Instant now,
+                         Neighbour& neighbour,
+                         policy::MessageBudget& budget,
+                         HandoverMessage& message);
 
   // As target.
   void HandleFromOrigin(Instant now,
