An entry's messages to a sidecar have a bound, stops come first

Cause: all offers and stops that were due at a sidecar went into one message. 20 specs of 4,000 bytes exceed a datagram. InstanceNet dropped it, the core counted its items as sent, their timers fell due together, and the same message was composed again. Stops in it never arrived, and the offers held the capacity of the upstream in the entry's view until their jobs timed out.

Change: - Stops, then offers, draw from the budget of a message by encoded size; up to four messages go out at once, further ones 2 ms later. - At most 64 KiB or 64 offers wait for a reply of one sidecar. - An offer is split by its tasks at 12 KiB. A job whose single task does not fit is refused. - An offer that is lost five times while other messages arrive is withdrawn: its runs are stopped, and once the sidecar has confirmed that, placed elsewhere. - The runs of a removed job whose offer was never sent are not stopped. - What the socket does not take is sent again and does not count as sent. - A log line names at most 32 sidecars.

The check that was blind: the harness delivered messages of any size, and its jobs were small. DirectCluster now drops what InstanceNet would not send, and a trial with large jobs has specs of up to 4,000 bytes, up to 980 tasks and a restart of all sidecars under load.

--- a/filbertwick/core/direct/direct_entry.cc
+++ b/filbertwick/core/direct/direct_entry.cc
@@ -23,6 +23,17 @@
 /// to an offer or a report of free capacity, and for the end of its last task.
 constexpr int kDelaysOfJob = 3;
 
+/// An offer that is lost this often is withdrawn, although other messages reach
+/// the sidecar: the path may not carry large datagrams. Otherwise it would hold
+/// the capacity of the upstream until the time limit of its job.
+constexpr uint32_t kMaxOfferSends = 5;
+/// Most messages to one sidecar at a time, and the pause after them while more
+/// is waiting.
+constexpr int kMaxMessagesAtOnce = 4;
+constexpr Duration kBurstPause = std::chrono::milliseconds(2);
+/// Pause before what the socket has not taken is sent again.
+constexpr Duration kSocketRetryDelay = std::chrono::milliseconds(20);
+
 /// Returns the first run number of a job that arrives at `wall`.
 uint64_t FirstRunNumber(WallTime wall) {
   const int64_t units =
@@ -112,6 +123,10 @@
     Answer(now, added, JobOutcome::kFailed, "upstreams_crashed");
     return;
   }
+  if (!FitsIntoOffers(added.spec)) {
+    Refuse(now, added, "task_too_large");
+    return;
+  }
   if (!CanEverFit(now, added)) {
     Refuse(now, added, "no_upstream_fits");
     return;
@@ -275,16 +290,22 @@
   std::set<SidecarView*> views;
   for (const JobTask& task : job.tasks) {
     if (task.phase == TaskPhase::kPlaced) {
-      SidecarView& view = sidecars_.at(task.sidecar);
-      StopRun(now, view, {task.name, task.run});
-      views.insert(&view);
+      views.insert(&sidecars_.at(task.sidecar));
     }
   }
+  std::set<TaskRun> unsent;
   for (SidecarView* view : views) {
+    unsent.merge(RemoveUnsentOffers(*view, job.number));
     for (OpenOffer& open : view->offers | std::views::values) {
       open.is_withdrawn |= open.job == job.number;
     }
   }
+  for (const JobTask& task : job.tasks) {
+    const TaskRun run = {task.name, task.run};
+    if (task.phase == TaskPhase::kPlaced && !unsent.contains(run)) {
+      StopRun(now, sidecars_.at(task.sidecar), run);
+    }
+  }
   recent_run_numbers_.Record(now, job.spec.id, job.next_run_number);
   wait_queue_.Remove(job.number);
   waiting_changed_ = true;
@@ -292,6 +313,28 @@
   jobs_.Remove(job.number);
 }
 
+std::set<TaskRun> DirectEntry::Impl::RemoveUnsentOffers(SidecarView& view,
+                                                        uint64_t job) {
+  std::set<TaskRun> runs;
+  std::erase_if(view.offers, [&](const auto& item) {
+    const OpenOffer& open = item.second;
+    if (open.job != job || open.sends > 0) {
+      return false;
+    }
+    for (const OfferedTask& task : open.offer.tasks) {
+      runs.insert(task.run);
+      view.suspect_runs.erase(task.run);
+      view.free += task.needs;
+    }
+    return true;
+  });
+  if (!runs.empty()) {
+    upstreams_.Touch(view);
+    placement_due_ = true;
+  }
+  return runs;
+}
+
 void DirectEntry::Impl::StopRun(Instant now,
                                 SidecarView& view,
                                 const TaskRun& run) {
@@ -383,7 +426,7 @@
       view.wants_reply = true;
     }
     view.ForEachResend([&](const policy::ResendTimer& resend) {
-      view.send_due |= now >= resend.due();
+      view.send_due |= now >= view.DueTime(resend);
     });
     view.send_due |= now >= view.ack_due;
   }
@@ -404,44 +447,88 @@
     if (view.IsBusy()) {
       note_due(view.last_heard + SidecarTimeout() + Duration(1));
     }
-    view.ForEachResend(
-        [&](const policy::ResendTimer& resend) { note_due(resend.due()); });
+    view.ForEachResend([&](const policy::ResendTimer& resend) {
+      note_due(view.DueTime(resend));
+    });
   }
   return next;
 }
 
-void DirectEntry::Impl::AddDueItems(Instant now,
+bool DirectEntry::Impl::AddDueItems(Instant now,
                                     SidecarView& view,
                                     EntryMessage& message) {
-  // Returns true when the item is to be sent with this message.
   // An answer that was not read so far is not lost.
   const Duration resend_interval =
       settings_.resend_interval +
       std::min(overload_.PresentDelay(now), settings_.reply_timeout);
-  const auto is_sent = [&](policy::ResendTimer& resend) {
+  policy::MessageBudget budget(wire::EncodedSize(message));
+  bool has_more = false;
+  // Returns true when the item is to be sent with this message. The first one
+  // that does not fit ends the message, so that a later item does not overtake
+  // an earlier one.
+  const auto is_sent = [&](policy::ResendTimer& resend, size_t bytes) {
     using Action = policy::ResendTimer::Action;
-    const Action action = resend.ActionAt(now, view.newest_echo);
-    if (action == Action::kSend) {
-      resend.Sent(now, resend_interval);
-    } else if (action == Action::kProbe) {
+    const Action action =
+        has_more ? Action::kNone : resend.ActionAt(now, view.newest_echo);
+    if (action == Action::kProbe) {
       resend.Probed();
       view.wants_reply = true;
     }
-    return action == Action::kSend;
-  };
-  for (OpenOffer& open : view.offers | std::views::values) {
-    if (!open.is_withdrawn && is_sent(open.resend)) {
-      message.offers.push_back(open.offer);
+    if (action != Action::kSend) {
+      return false;
     }
-  }
+    if (!budget.Take(bytes)) {
+      has_more = true;
+      return false;
+    }
+    resend.Sent(now, resend_interval);
+    return true;
+  };
+  // Stops come first: they must not wait behind the offers.
   for (auto& [run, resend] : view.stops) {
-    if (is_sent(resend)) {
+    if (is_sent(resend, wire::EncodedSize(run))) {
       message.stops.push_back(run);
     }
   }
+  view.ForEachSendableOffer([&](OpenOffer& open) {
+    if (is_sent(open.resend, open.bytes)) {
+      ++open.sends;
+      message.offers.push_back(open.offer);
+    }
+  });
+  return has_more;
+}
+
+void DirectEntry::Impl::WithdrawLostOffers(Instant now, SidecarView& view) {
+  std::vector<OpenOffer*> lost;
+  view.ForEachSendableOffer([&](OpenOffer& open) {
+    if (open.sends >= kMaxOfferSends &&
+        open.resend.ActionAt(now, view.newest_echo) ==
+            policy::ResendTimer::Action::kSend) {
+      lost.push_back(&open);
+    }
+  });
+  for (OpenOffer* open : lost) {
+    effects_.push_back(
+        LogLine("offer_withdrawn")
+            .Add("sidecar", view.name.value())
+            .Add("tasks", static_cast<int64_t>(open->offer.tasks.size()))
+            .Add("bytes", static_cast<int64_t>(open->bytes))
+            .Add("sends", static_cast<int64_t>(open->sends)));
+    open->is_withdrawn = true;
+    // The ends of the runs, which never started if the offer never arrived,
+    // make their tasks ready to be placed again.
+    for (const OfferedTask& task : open->offer.tasks) {
+      if (!open->ended.contains(task.run)) {
+        StopRun(now, view, task.run);
+      }
+    }
+  }
 }
 
-EntryMessage DirectEntry::Impl::ComposeMessage(Instant now, SidecarView& view) {
+EntryMessage DirectEntry::Impl::ComposeMessage(Instant now,
+                                               SidecarView& view,
+                                               bool& has_more) {
   EntryMessage message;
   message.from = self_;
   message.to_incarnation = view.incarnation;
@@ -451,7 +538,7 @@
   message.control = control_;
   message.claims = ComposeClaims(now, view);
   view.has_claims = !message.claims.empty();
-  AddDueItems(now, view, message);
+  has_more = AddDueItems(now, view, message);
   message.wants_reply = std::exchange(view.wants_reply, false);
   if (message.wants_reply || !message.offers.empty()) {
     upstreams_.Touch(view);
@@ -463,6 +550,45 @@
   return message;
 }
 
+void DirectEntry::Impl::SendMessages(Instant now, SidecarView& view) {
+  WithdrawLostOffers(now, view);
+  const bool is_paced = now < view.paced_until;
+  bool has_more = true;
+  for (int n = 0; has_more && n < (is_paced ? 1 : kMaxMessagesAtOnce); ++n) {
+    effects_.push_back(
+        SendToSidecarEffect{view.name, ComposeMessage(now, view, has_more)});
+  }
+  if (has_more && !is_paced) {
+    view.paced_until = now + kBurstPause;
+  }
+}
+
+void DirectEntry::Impl::OnNotSent(Instant now,
+                                  const InstanceName& to,
+                                  const EntryMessage& message) {
+  const auto it = sidecars_.find(to);
+  if (it == sidecars_.end()) {
+    return;
+  }
+  SidecarView& view = it->second;
+  const Instant retry = now + kSocketRetryDelay;
+  for (const Offer& offer : message.offers) {
+    const auto open = view.offers.find(offer.id);
+    if (open != view.offers.end()) {
+      open->second.resend.NotSent(retry);
+      --open->second.sends;
+    }
+  }
+  for (const TaskRun& run : message.stops) {
+    const auto stop = view.stops.find(run);
+    if (stop != view.stops.end()) {
+      stop->second.NotSent(retry);
+    }
+  }
+  view.wants_reply |= message.wants_reply;
+  view.heartbeat_due = std::min(view.heartbeat_due, retry);
+}
+
 void DirectEntry::Impl::FlushEffects(Instant now, EntryEffects& effects) {
   ExpireJobs(now);
   HandleHandoverEvents(now, {}, handover_.OnWakeup(now));
@@ -473,8 +599,7 @@
   AnnounceWaitingJobs(now);
   overload_.OnWaitingJobs(wait_queue_.size(), settings_.max_waiting_jobs);
   for (SidecarView* view : upstreams_.TakeDueToSend()) {
-    effects_.push_back(
-        SendToSidecarEffect{view->name, ComposeMessage(now, *view)});
+    SendMessages(now, *view);
   }
   SendHandoverMessages(now);
   std::ranges::move(effects_, std::back_inserter(effects));
@@ -555,6 +680,18 @@
   impl_->FlushEffects(now, effects);
 }
 
+void DirectEntry::OnNotSent(Instant now,
+                            const InstanceName& to,
+                            const EntryMessage& message) {
+  impl_->OnNotSent(now, to, message);
+}
+
+void DirectEntry::OnNotSent(Instant now,
+                            const InstanceName& to,
+                            const HandoverMessage& message) {
+  impl_->OnNotSent(now, to, message);
+}
+
 void DirectEntry::OnHandoverMessages(Instant now,
                                      WallTime wall,
                                      std::span<const HandoverMessage> messages,
--- a/filbertwick/core/direct/direct_entry.h
+++ b/filbertwick/core/direct/direct_entry.h
@@ -75,6 +75,14 @@
                           WallTime wall,
                           std::span<const HandoverMessage> messages,
                           EntryEffects& effects);
+  /// Reports that a message among the effects was not sent, so that its items
+  /// do not count as sent.
+  void OnNotSent(Instant now,
+                 const InstanceName& to,
+                 const EntryMessage& message);
+  void OnNotSent(Instant now,
+                 const InstanceName& to,
+                 const HandoverMessage& message);
   /// Records what another entry reports about itself.
   void OnEntryLoad(Instant now,
                    const Peer& entry,
--- a/filbertwick/core/direct/direct_entry_handover.cc
+++ b/filbertwick/core/direct/direct_entry_handover.cc
@@ -10,13 +10,9 @@
 /// A job with less time left is not handed over: the round trips and a decline
 /// would take much of it.
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(100);
-/// Largest job that is handed over, in bytes, so that several fit into a
-/// datagram.
-constexpr size_t kMaxJobBytes = 16 * 1024;
-/// Upper bound of the encoded size of a step without its texts and
-/// dependencies, and of one dependency.
-constexpr size_t kStepBytes = 48;
-constexpr size_t kDependencyBytes = 2;
+/// Maximum encoded size of a job that is handed over, in bytes.
+constexpr size_t kMaxJobBytes = 15 * 1024;
+static_assert(kMaxJobBytes < policy::kMaxPartBytes);
 /// Bounds of a job from another entry; wider than those of callers' jobs.
 constexpr size_t kMaxTasks = 1000;
 constexpr Duration kMaxTime = std::chrono::hours(24);
@@ -54,16 +50,17 @@
          job.id.size() <= kMaxJobIdBytes && job.max_attempts > 0 &&
          IsTime(job.expected) && IsTime(job.age) && IsTime(job.time_limit) &&
          job.target >= -kMaxTime && job.target <= kMaxTime &&
-         job.spec.size() <= kMaxJobBytes && job.first_run <= kMaxRunNumber;
+         FitsIntoOffers(job) && job.first_run <= kMaxRunNumber;
 }
 
-size_t EstimateBytes(const JobRequest& job) {
-  size_t bytes = job.spec.size();
+bool FitsIntoHandover(const JobRequest& job) {
+  // Encoding a job with hundreds of thousands of dependencies would take
+  // milliseconds; each takes a byte or more.
+  size_t dependencies = 0;
   for (const JobStep& step : job.steps) {
-    bytes += kStepBytes + step.after.size() * kDependencyBytes +
-             step.required_label.size() + step.data_rack.size();
+    dependencies += step.after.size();
   }
-  return bytes;
+  return dependencies <= kMaxJobBytes && wire::EncodedSize(job) <= kMaxJobBytes;
 }
 
 }  // namespace
@@ -86,7 +83,7 @@
 
 bool DirectEntry::Impl::MayHandOver(const JobRequest& spec) const {
   return load_sharing_ && !spec.was_handed_over && !IsHandedIn(spec.request) &&
-         spec.time_limit >= kMinTimeLeft && EstimateBytes(spec) <= kMaxJobBytes;
+         spec.time_limit >= kMinTimeLeft && FitsIntoHandover(spec);
 }
 
 InstanceName DirectEntry::Impl::ChooseTarget(Instant now,
--- a/filbertwick/core/direct/direct_entry_impl.h
+++ b/filbertwick/core/direct/direct_entry_impl.h
@@ -15,10 +15,12 @@
 #include "filbertwick/core/direct/direct_entry.h"
 #include "filbertwick/core/direct/direct_job_table.h"
 #include "filbertwick/core/direct/job_handover.h"
+#include "filbertwick/core/direct/offer_split.h"
 #include "filbertwick/core/direct/recent_run_numbers.h"
 #include "filbertwick/core/direct/sidecar_view.h"
 #include "filbertwick/core/direct/upstream_table.h"
 #include "filbertwick/core/policy/crash_containment.h"
+#include "filbertwick/core/policy/message_budget.h"
 #include "filbertwick/core/policy/overload_detector.h"
 #include "filbertwick/core/policy/retry_after_estimator.h"
 #include "filbertwick/core/policy/task_placement.h"
@@ -55,6 +57,14 @@
                    const EntryLoad& load) {
     handover_.OnEntryLoad(now, entry, zone, load);
   }
+  void OnNotSent(Instant now,
+                 const InstanceName& to,
+                 const EntryMessage& message);
+  void OnNotSent(Instant now,
+                 const InstanceName& to,
+                 const HandoverMessage& message) {
+    handover_.OnNotSent(now, to, message);
+  }
   EntryLoad Load(Instant now) const;
   void SetPressure(Instant now, double pressure) {
     host_pressure_ = pressure;
@@ -283,10 +293,18 @@
   std::vector<Claim> ComposeClaims(Instant now, const SidecarView& view) const;
   /// Returns when the claims are to be assigned again.
   Instant NextClaims() const;
-  /// Adds the offers and stops that are due to a message, and requests a reply
-  /// where one is needed to know whether others are lost.
-  void AddDueItems(Instant now, SidecarView& view, EntryMessage& message);
-  EntryMessage ComposeMessage(Instant now, SidecarView& view);
+  /// Adds the stops and offers that are due to a message, as many as fit, and
+  /// requests a reply where one is needed to know whether others are lost.
+  /// Returns true when more are due.
+  bool AddDueItems(Instant now, SidecarView& view, EntryMessage& message);
+  /// Withdraws the offers that were lost kMaxOfferSends times.
+  void WithdrawLostOffers(Instant now, SidecarView& view);
+  /// Removes the offers of a job that were never sent, and returns their runs,
+  /// which need not be stopped.
+  std::set<TaskRun> RemoveUnsentOffers(SidecarView& view, uint64_t job);
+  EntryMessage ComposeMessage(Instant now, SidecarView& view, bool& has_more);
+  /// Sends the messages to a sidecar that are due.
+  void SendMessages(Instant now, SidecarView& view);
 
   const Peer self_;
   const DirectEntrySettings settings_;
--- a/filbertwick/core/direct/direct_entry_log.cc
+++ b/filbertwick/core/direct/direct_entry_log.cc
@@ -4,6 +4,13 @@
 #include "filbertwick/core/direct/names.h"
 
 namespace filbertwick::core::direct {
+namespace {
+
+/// Most sidecars that one log line or decision names; bounds the line, and the
+/// history of a job of many tasks.
+constexpr size_t kMaxLoggedPlaces = 32;
+
+}  // namespace
 
 void DirectEntry::Impl::LogAnswer(Instant now,
                                   const DirectJob& job,
@@ -72,9 +79,12 @@
     }
   }
   std::string text;
-  for (const auto& [name, n] : counts) {
+  for (const auto& [name, n] : counts | std::views::take(kMaxLoggedPlaces)) {
     text += fmt::format("{}{}:{}", text.empty() ? "" : " ", name, n);
   }
+  if (counts.size() > kMaxLoggedPlaces) {
+    text += fmt::format(" and {} more", counts.size() - kMaxLoggedPlaces);
+  }
   return text;
 }
 
--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -305,15 +305,19 @@
   ++job.next_run_number;
   LogPlacement(now, job, tasks.size(), offers);
   for (auto& [name, offer] : offers) {
-    const uint64_t id = ++last_offer_id_;
     SidecarView& view = sidecars_.at(name);
-    offer.id = id;
     offer.spec = job.spec.spec;
     offer.service = job.spec.service;
     offer.queue = job.spec.queue;
-    view.offers.emplace(
-        id,
-        OpenOffer{std::move(offer), {}, policy::ResendTimer(now), job.number});
+    for (Offer& part : SplitOffer(std::move(offer))) {
+      part.id = ++last_offer_id_;
+      const size_t bytes = wire::EncodedSize(part);
+      view.offers.emplace(part.id, OpenOffer{std::move(part),
+                                             {},
+                                             policy::ResendTimer(now),
+                                             job.number,
+                                             bytes});
+    }
     view.send_due = true;
   }
 }
--- a/filbertwick/core/direct/direct_entry_sessions.cc
+++ b/filbertwick/core/direct/direct_entry_sessions.cc
@@ -78,6 +78,9 @@
       HandleEnd(now, view, {0, run, EndKind::kLost, 0});
     }
   }
+  // Replies may have made room for offers that wait to be sent.
+  view.ForEachSendableOffer(
+      [&](const OpenOffer& open) { view.send_due |= open.sends == 0; });
   upstreams_.Touch(view);
   placement_due_ = true;
 }
@@ -123,6 +126,7 @@
   view.accepts_tasks = false;
   view.acknowledged_end = 0;
   view.last_crash = 0;
+  view.paced_until = Instant::min();
   view.send_due = true;
   view.wants_reply = true;
 }
--- /dev/null
+++ b/filbertwick/core/direct/offer_split.h
@@ -0,0 +1,27 @@
+#ifndef FILBERTWICK_CORE_DIRECT_OFFER_SPLIT_H_
+#define FILBERTWICK_CORE_DIRECT_OFFER_SPLIT_H_
+
+#include <cstddef>
+#include <vector>
+
+#include "filbertwick/core/direct/job_request.h"
+#include "filbertwick/core/direct/message.h"
+#include "filbertwick/core/policy/message_budget.h"
+
+namespace filbertwick::core::direct {
+
+/// Maximum encoded size of an offer, in bytes.
+inline constexpr size_t kMaxOfferBytes = 12 * 1024;
+static_assert(kMaxOfferBytes <= policy::kMaxPartBytes);
+
+/// Splits an offer by its tasks into offers of at most kMaxOfferBytes. Their
+/// ids are left to the caller.
+std::vector<Offer> SplitOffer(Offer offer);
+
+/// Returns true when an offer of a single task of the job fits into
+/// kMaxOfferBytes. Other jobs can't be run.
+bool FitsIntoOffers(const JobRequest& job);
+
+}  // namespace filbertwick::core::direct
+
+#endif  // FILBERTWICK_CORE_DIRECT_OFFER_SPLIT_H_
--- a/filbertwick/core/direct/sidecar_view.h
+++ b/filbertwick/core/direct/sidecar_view.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTWICK_CORE_DIRECT_SIDECAR_VIEW_H_
 #define FILBERTWICK_CORE_DIRECT_SIDECAR_VIEW_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <ranges>
@@ -10,6 +11,7 @@
 #include "filbertwick/base/time.h"
 #include "filbertwick/core/direct/message.h"
 #include "filbertwick/core/policy/resend_timer.h"
+#include "filbertwick/core/policy/send_window.h"
 #include "filbertwick/core/policy/unanswered_requests.h"
 #include "filbertwick/core/policy/upstream_speed.h"
 
@@ -24,8 +26,13 @@
   policy::ResendTimer resend;
   /// The job that the tasks belong to.
   uint64_t job = 0;
-  /// The job was removed, so all runs of the offer are to be stopped. It is not
-  /// resent: a sidecar that has forgotten the stops by then would start them.
+  /// Encoded size of the offer.
+  size_t bytes = 0;
+  /// How often the offer was sent.
+  uint32_t sends = 0;
+  /// The job was removed, or the offer stayed unanswered too often, so all runs
+  /// of the offer are to be stopped. It is not resent: a sidecar that has
+  /// forgotten the stops by then would start them.
   bool is_withdrawn = false;
 };
 
@@ -135,6 +142,9 @@
   /// When received ends must be acknowledged; Instant::max() when none are
   /// unacknowledged.
   Instant ack_due = Instant::max();
+  /// Until then nothing is due again: the last messages were as many as may be
+  /// sent at once, and more are waiting.
+  Instant paced_until = Instant::min();
 
   /// Returns true when the sidecar may have an upstream that is not known yet.
   bool MayFindUpstream(Instant now) const {
@@ -162,29 +172,27 @@
   /// `stops` stays.
   std::set<TaskRun> TakeUnfinishedRuns();
 
-  /// Calls `visit` with the timer of every unanswered offer, unless it is
-  /// withdrawn, and of every stop.
+  /// Calls `visit` with every offer that may be sent, oldest first: those that
+  /// are unanswered, and as many others as the window admits.
+  template <typename Visit>
+  void ForEachSendableOffer(Visit visit) {
+    VisitSendableOffers(offers, visit);
+  }
+  /// Calls `visit` with the timer of each of these offers and of every stop.
   template <typename Visit>
   void ForEachResend(Visit visit) {
-    for (OpenOffer& open : offers | std::views::values) {
-      if (!open.is_withdrawn) {
-        visit(open.resend);
-      }
-    }
-    for (policy::ResendTimer& resend : stops | std::views::values) {
-      visit(resend);
-    }
+    VisitSendableOffers(offers, [&](OpenOffer& open) { visit(open.resend); });
+    std::ranges::for_each(stops | std::views::values, visit);
   }
   template <typename Visit>
   void ForEachResend(Visit visit) const {
-    for (const OpenOffer& open : offers | std::views::values) {
-      if (!open.is_withdrawn) {
-        visit(open.resend);
-      }
-    }
-    for (const policy::ResendTimer& resend : stops | std::views::values) {
-      visit(resend);
-    }
+    VisitSendableOffers(offers,
+                        [&](const OpenOffer& open) { visit(open.resend); });
+    std::ranges::for_each(stops | std::views::values, visit);
+  }
+  /// Returns when an item is due that `resend` belongs to.
+  Instant DueTime(const policy::ResendTimer& resend) const {
+    return std::max(resend.due(), paced_until);
   }
 
   /// Records that the sidecar has received the messages sent up to `echo`.
@@ -195,6 +203,22 @@
     return !offers.empty() || !runs.empty() || !stops.empty() ||
            !unconfirmed_runs.empty();
   }
+
+ private:
+  template <typename Offers, typename Visit>
+  static void VisitSendableOffers(Offers& all, Visit visit) {
+    policy::SendWindow window;
+    for (auto& open : all | std::views::values) {
+      if (open.is_withdrawn) {
+        continue;
+      }
+      if (open.sends == 0 && !window.Admits(open.bytes)) {
+        return;
+      }
+      window.Add(open.bytes);
+      visit(open);
+    }
+  }
 };
 
 /// Updates the run time ratio and the failure state of a sidecar's upstream
--- a/filbertwick/harness/direct_cluster.cc
+++ b/filbertwick/harness/direct_cluster.cc
@@ -7,8 +7,6 @@
 #include <utility>
 #include <variant>
 
-#include "filbertwick/wire/archive.h"
-
 namespace filbertwick::harness {
 namespace {
 
@@ -465,31 +463,50 @@
   });
 }
 
-size_t DirectCluster::MeasureMessage(const direct::Datagram& message) const {
-  return settings_.measure_messages ? wire::EncodeValue(message).size() : 0;
+std::optional<size_t> DirectCluster::MeasureDatagram(
+    const direct::Datagram& datagram) {
+  const size_t bytes = direct::EncodedDatagramSize(datagram);
+  if (bytes <= direct::kMaxDatagramBytes) {
+    return bytes;
+  }
+  ++oversized_messages_;
+  Trace([&] {
+    return fmt::format("a {} message of {} bytes is not sent",
+                       direct::KindOf(datagram), bytes);
+  });
+  return std::nullopt;
 }
 
 void DirectCluster::SendToSidecar(uint32_t from,
                                   direct::SendToSidecarEffect send) {
   const uint32_t to = IndexOf(send.to);
-  const Duration delay =
-      hooks_.message_delay({from, to, true, MeasureMessage(send.message)});
+  direct::Datagram datagram(std::move(send.message));
+  const auto bytes = MeasureDatagram(datagram);
+  if (!bytes) {
+    return;
+  }
+  const Duration delay = hooks_.message_delay({from, to, true, *bytes});
   // A datagram reaches the incarnation that runs when it arrives.
-  loop_.After(delay, [this, to, message = std::move(send.message)] {
-    RunWhenAvailable(
-        sidecars_[to], sidecars_[to].incarnation, [this, to, message] {
-          StepSidecar(to, [&](Instant now, direct::SidecarEffects& out) {
-            sidecars_[to].core->OnMessage(now, message, out);
-          });
-        });
-  });
+  loop_.After(
+      delay, [this, to,
+              message = std::get<direct::EntryMessage>(std::move(datagram))] {
+        RunWhenAvailable(
+            sidecars_[to], sidecars_[to].incarnation, [this, to, message] {
+              StepSidecar(to, [&](Instant now, direct::SidecarEffects& out) {
+                sidecars_[to].core->OnMessage(now, message, out);
+              });
+            });
+      });
 }
 
 void DirectCluster::SendToPeer(uint32_t from,
                                const direct::SendToPeerEffect& send) {
   const uint32_t to = IndexOf(send.to);
-  for (const Duration delay :
-       hooks_.entry_message_delays({from, to, MeasureMessage(send.message)})) {
+  const auto bytes = MeasureDatagram(send.message);
+  if (!bytes) {
+    return;
+  }
+  for (const Duration delay : hooks_.entry_message_delays({from, to, *bytes})) {
     loop_.After(delay, [this, to, message = send.message] {
       RunWhenAvailable(
           entries_[to], entries_[to].incarnation, [this, to, message] {
@@ -509,14 +526,20 @@
 void DirectCluster::HandleEffect(uint32_t from,
                                  direct::SendToEntryEffect& send) {
   const uint32_t to = IndexOf(send.to);
-  const Duration delay =
-      hooks_.message_delay({to, from, false, MeasureMessage(send.message)});
-  loop_.After(delay, [this, to, message = std::move(send.message)] {
-    RunWhenAvailable(entries_[to], entries_[to].incarnation,
-                     [this, to, message] {
-                       GiveToEntry(to, {message, {}});
-                     });
-  });
+  direct::Datagram datagram(std::move(send.message));
+  const auto bytes = MeasureDatagram(datagram);
+  if (!bytes) {
+    return;
+  }
+  const Duration delay = hooks_.message_delay({to, from, false, *bytes});
+  loop_.After(
+      delay, [this, to,
+              message = std::get<direct::SidecarMessage>(std::move(datagram))] {
+        RunWhenAvailable(entries_[to], entries_[to].incarnation,
+                         [this, to, message] {
+                           GiveToEntry(to, {message, {}});
+                         });
+      });
 }
 
 void DirectCluster::HandleEffect(uint32_t n,
--- a/filbertwick/harness/direct_cluster.h
+++ b/filbertwick/harness/direct_cluster.h
@@ -26,8 +26,7 @@
   uint32_t entry = 0;
   uint32_t sidecar = 0;
   bool to_sidecar = false;
-  /// Encoded size of the message; 0 unless
-  /// DirectClusterSettings::measure_messages is set.
+  /// Size of the datagram.
   size_t message_bytes = 0;
 };
 
@@ -35,7 +34,7 @@
 struct EntryLink {
   uint32_t from = 0;
   uint32_t to = 0;
-  /// See DirectLink::message_bytes.
+  /// Size of the datagram; 0 for a report of the load.
   size_t message_bytes = 0;
 };
 
@@ -109,8 +108,6 @@
   EntryCosts entry_costs;
   /// See DirectEntry::SetLoadSharing().
   bool load_sharing = false;
-  /// Encodes each message to know its size, which takes time.
-  bool measure_messages = false;
 };
 
 /// The service of all upstreams of a DirectCluster.
@@ -188,6 +185,9 @@
     return sidecars_[n].core->Status();
   }
   int64_t last_upstream_start() const { return last_upstream_start_; }
+  /// Messages that were dropped because InstanceNet would not send them: they
+  /// were larger than core::direct::kMaxDatagramBytes.
+  uint64_t oversized_messages() const { return oversized_messages_; }
 
  private:
   /// State of a simulated process, which can be paused or killed.
@@ -262,8 +262,9 @@
   void ScheduleWakeup(Process& process,
                       Instant due,
                       std::function<void()> wake);
-  /// Returns the encoded size of a message, or 0 when it is not measured.
-  size_t MeasureMessage(const core::direct::Datagram& message) const;
+  /// Returns the size of a datagram; nullopt, and counts it, when it is too
+  /// large to be sent.
+  std::optional<size_t> MeasureDatagram(const core::direct::Datagram& datagram);
   void SendToSidecar(uint32_t from, core::direct::SendToSidecarEffect send);
   void SendToPeer(uint32_t from, const core::direct::SendToPeerEffect& send);
   /// Reports the load of an entry to all others, and again after an interval.
@@ -308,6 +309,7 @@
   std::vector<Entry> entries_;
   std::vector<Sidecar> sidecars_;
   int64_t last_upstream_start_ = 0;
+  uint64_t oversized_messages_ = 0;
 };
 
 }  // namespace filbertwick::harness
--- a/filbertwick/harness/direct_trial.cc
+++ b/filbertwick/harness/direct_trial.cc
@@ -40,6 +40,17 @@
 constexpr uint64_t kHandoverSeed = 0x2545f4914f6cdd1d;
 /// The same for what other writers send, and for jobs of many steps.
 constexpr uint64_t kWriterSeed = 0x9e3779b97f4a7c15;
+/// The same for the size of jobs.
+constexpr uint64_t kSizeSeed = 0xda942042e4dd58b5;
+/// The largest spec and the most tasks of a large job, and the CPU of one of
+/// its tasks.
+constexpr size_t kMaxSpecBytes = 4000;
+constexpr uint32_t kMaxTasks = 980;
+constexpr int64_t kSmallTaskCpuMillis = 50;
+/// Capacity of an upstream for tasks of this size.
+constexpr int64_t kSmallTasksPerUpstream = 1280;
+/// How long all sidecars are away together.
+constexpr Duration kRestartTime = 400 * kMilli;
 /// Other writers end before the trial, so that it shows what remains of it.
 constexpr Duration kWritersEnd = 7000 * kMilli;
 /// Steps of a job of many steps.
@@ -55,6 +66,7 @@
         restart_random_(settings.seed ^ kRestartSeed),
         handover_random_(settings.seed ^ kHandoverSeed),
         writer_random_(settings.seed ^ kWriterSeed),
+        size_random_(settings.seed ^ kSizeSeed),
         saturated_(settings.entries),
         open_requests_(settings.entries),
         clock_rates_(settings.sidecars),
@@ -71,10 +83,16 @@
       cluster_.StartEntry(n);
     }
     for (uint32_t n = 0; n < settings_.jobs; ++n) {
-      const std::string id = fmt::format("job-{}", n);
+      // Large jobs have ids as long as those of callers.
+      const std::string id =
+          fmt::format("job-{:0{}}", n, settings_.large_jobs ? 12 : 1);
       loop_.At(random_.Between(300 * kMilli, 6000 * kMilli),
                [this, id] { SendJob(id, true); });
     }
+    if (settings_.large_jobs) {
+      loop_.At(size_random_.Between(1000 * kMilli, 4000 * kMilli),
+               [this] { RestartSidecarsUnderLoad(); });
+    }
     loop_.After(kCheckInterval, [this] { Check(); });
     if (settings_.faults) {
       loop_.After(50 * kMilli, [this] { InjectFault(); });
@@ -92,6 +110,11 @@
       result_.closed_sidecars +=
           cluster_.SidecarStatus(n).accepts_tasks ? 0 : 1;
     }
+    result_.oversized_messages = cluster_.oversized_messages();
+    if (result_.oversized_messages > 0) {
+      AddViolation(fmt::format("{} messages were too large to be sent",
+                               result_.oversized_messages));
+    }
     result_.digest = hasher_.digest();
     return result_;
   }
@@ -109,8 +132,11 @@
       cluster.entry_means.assign(settings.entries, {500, 25'000});
       cluster.entry_means.front() = {120, 3'000};
     }
-    cluster.capacities.assign(settings.sidecars,
-                              {kTaskCpuMillis * kTasksPerUpstream, 1000, 0});
+    cluster.capacities.assign(
+        settings.sidecars,
+        {settings.large_jobs ? kSmallTaskCpuMillis * kSmallTasksPerUpstream
+                             : kTaskCpuMillis * kTasksPerUpstream,
+         1000, 0});
     return cluster;
   }
 
@@ -300,6 +326,9 @@
     if (settings_.other_writers && writer_random_.Chance(0.1)) {
       AddManySteps(job);
     }
+    if (settings_.large_jobs) {
+      EnlargeJob(job);
+    }
     open_requests_[n][request] = id;
     cluster_.Submit(n, std::move(job));
     if (settings_.faults && may_resend && random_.Chance(0.3)) {
@@ -319,6 +348,30 @@
     }
   }
 
+  void RestartSidecarsUnderLoad() {
+    for (uint32_t n = 0; n < settings_.sidecars; ++n) {
+      cluster_.KillSidecar(n, kRestartTime, [this, n] { StartSidecar(n); });
+    }
+    for (uint32_t n = 0; n < DirectTrialSettings::kJobsAtRestart; ++n) {
+      const std::string id = fmt::format("restart-job-{:04}", n);
+      loop_.After(size_random_.Between(kMilli, kRestartTime / 2),
+                  [this, id] { SendJob(id, true); });
+    }
+  }
+
+  /// Gives a job a spec and a number of tasks up to the limits of callers.
+  void EnlargeJob(direct::JobRequest& job) {
+    job.spec.assign(size_random_.Chance(0.5)
+                        ? kMaxSpecBytes
+                        : size_random_.Below(kMaxSpecBytes),
+                    's');
+    direct::JobStep& step = job.steps.front();
+    step.needs = {kSmallTaskCpuMillis, 0, 0};
+    if (job.id.starts_with("job") && size_random_.Chance(0.5)) {
+      step.count = 1 + static_cast<uint32_t>(size_random_.Below(kMaxTasks));
+    }
+  }
+
   void DisconnectCaller(uint32_t n, uint64_t request, const std::string& id) {
     // A caller has one attempt at a time. Its attempt ends here, even if the
     // entry notices the broken connection later.
@@ -418,7 +471,8 @@
       DirectUpstream& upstream = cluster_.upstream(n);
       upstream.Advance(loop_.now());
       const auto running = upstream.Running();
-      if (static_cast<int64_t>(running.size()) > kTasksPerUpstream) {
+      if (static_cast<int64_t>(running.size()) >
+          (settings_.large_jobs ? kSmallTasksPerUpstream : kTasksPerUpstream)) {
         AddViolation(fmt::format("over capacity: {} runs at upstream {}",
                                  running.size(), n));
       }
@@ -442,6 +496,7 @@
   Random restart_random_;
   Random handover_random_;
   Random writer_random_;
+  Random size_random_;
   /// The entries that are saturated.
   std::vector<bool> saturated_;
   EventLoop loop_;
--- a/filbertwick/harness/direct_trial.h
+++ b/filbertwick/harness/direct_trial.h
@@ -40,6 +40,12 @@
   /// Other writers announce upstreams and departures; see OtherWriters. Some
   /// jobs have many steps, each of which names all earlier ones.
   bool other_writers = false;
+  /// Jobs have specs of up to 4,000 bytes and up to 980 tasks, which are so
+  /// small that a wide job fits on one upstream. Once, all sidecars restart
+  /// together while further jobs with such specs arrive.
+  bool large_jobs = false;
+  /// Jobs that arrive then.
+  static constexpr uint32_t kJobsAtRestart = 160;
   /// Receives one line for each event of the trial; may be empty.
   std::function<void(std::string_view line)> trace;
 };
@@ -48,6 +54,8 @@
 struct DirectTrialResult {
   /// Violated guarantees, one line each with the virtual time.
   std::vector<std::string> violations;
+  /// Messages that were not sent because they exceeded a datagram.
+  uint64_t oversized_messages = 0;
   /// Number of answers by outcome.
   uint32_t completed = 0;
   uint32_t failed = 0;
--- a/filbertwick/harness/load_replay.cc
+++ b/filbertwick/harness/load_replay.cc
@@ -176,7 +176,6 @@
     settings.sidecars = pattern.sidecars;
     settings.entry = pattern.entry;
     settings.sidecar = pattern.sidecar;
-    settings.measure_messages = pattern.entry_link_bytes_per_second > 0;
     for (uint32_t n = 0; n < pattern.sidecars; ++n) {
       settings.capacities.push_back({CpuMillisOf(pattern, n), 1'000'000, 0});
       if (pattern.zones.size() > 1) {
--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -294,10 +294,17 @@
   }
 
   void Perform(SendToSidecarEffect& effect) {
-    peer_service_->Send(effect.to, std::move(effect.message));
+    Send(effect.to, std::move(effect.message));
   }
   void Perform(SendToPeerEffect& effect) {
-    peer_service_->Send(effect.to, std::move(effect.message));
+    Send(effect.to, std::move(effect.message));
+  }
+  template <typename Message>
+  void Send(const InstanceName& to, Message message) {
+    const core::direct::Datagram datagram(std::move(message));
+    if (!peer_service_->Send(to, datagram)) {
+      core().OnNotSent(MonotonicClock::now(), to, std::get<Message>(datagram));
+    }
   }
   void Perform(const CountEffect& effect) {
     context_.counters.Get(CounterOf(effect.event)).Add();
--- a/unit_tests/direct_dispatch_test.cc
+++ b/unit_tests/direct_dispatch_test.cc
@@ -17,6 +17,8 @@
 /// Number of random schedules played with changed settings. When the change
 /// disables a safety rule, a violation must occur in one of them.
 constexpr uint64_t kDetectionSeeds = 600;
+/// Number of random schedules played with large jobs, which take longer.
+constexpr uint64_t kLargeJobSeeds = 40;
 
 DirectTrialResult Play(uint64_t seed, bool faults) {
   DirectTrialSettings settings;
@@ -119,6 +121,38 @@
                 completed, completed_without);
 }
 
+// Jobs with large specs and many tasks. Everything that was due at a sidecar
+// went into one message; above the limit of a datagram it was never sent, and
+// neither was any stop among it.
+Test(direct_dispatch, shows_no_violation_with_large_jobs) {
+  for (uint64_t seed = 1; seed <= kLargeJobSeeds; ++seed) {
+    DirectTrialSettings settings;
+    settings.seed = seed;
+    settings.large_jobs = true;
+    const DirectTrialResult result = RunDirectTrial(settings);
+    cr_assert(result.violations.empty(), "seed %lu: %s", seed,
+              result.violations.front().c_str());
+  }
+}
+
+// Without faults, large jobs lost their capacity to offers above the limit of a
+// datagram, and timed out.
+Test(direct_dispatch, completes_every_large_job_without_faults) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    DirectTrialSettings settings;
+    settings.seed = seed;
+    settings.faults = false;
+    settings.large_jobs = true;
+    settings.longest_task = std::chrono::milliseconds(300);
+    const DirectTrialResult result = RunDirectTrial(settings);
+    cr_assert(result.violations.empty(), "seed %lu: %s", seed,
+              result.violations.front().c_str());
+    cr_assert_eq(result.completed,
+                 settings.jobs + DirectTrialSettings::kJobsAtRestart,
+                 "seed %lu: %u completed", seed, result.completed);
+  }
+}
+
 // Announcements of other processes and late ones of earlier incarnations, late
 // departures, and jobs of many steps, alone and together with all faults. They
 // made tasks run twice, closed sidecars for good and hung entries.
--- a/unit_tests/direct_entry_fixture.h
+++ b/unit_tests/direct_entry_fixture.h
@@ -41,6 +41,7 @@
       if (auto* send = std::get_if<SendToSidecarEffect>(&effect)) {
         const size_t n = send->to.value() == "s0" ? 0 : 1;
         last_sent_at[n] = send->message.sent_at;
+        messages.emplace_back(n, send->message);
         claims.emplace_back(n, send->message.claims);
         for (const Offer& offer : send->message.offers) {
           offers.push_back({n, offer});
@@ -76,7 +77,8 @@
     message.accepts_tasks = true;
     message.upstream.service = "service";
     message.upstream.zone = ZoneName(n == 0 ? "z0" : "z1");
-    message.upstream.capacity = {2 * kTaskCpu, 100, 0};
+    message.upstream.capacity = {std::max<int64_t>(2, free_tasks) * kTaskCpu,
+                                 100, 0};
     message.free = {free_tasks * kTaskCpu, 100, 0};
     return message;
   }
@@ -151,6 +153,8 @@
 
   Instant now{std::chrono::seconds(100)};
   std::unique_ptr<DirectEntry> entry;
+  /// The sidecar and the whole of each message.
+  std::vector<std::pair<size_t, EntryMessage>> messages;
   std::vector<std::pair<size_t, Offer>> offers;
   std::vector<TaskRun> stops;
   /// The sidecar and the claims of each message.
--- a/unit_tests/job_handover_test.cc
+++ b/unit_tests/job_handover_test.cc
@@ -152,7 +152,6 @@
     settings.sidecars = kSidecars;
     settings.capacities.assign(kSidecars, {4000, 1000, 0});
     settings.entry_means = {{120, 3000}, {500, 25'000}, {500, 25'000}};
-    settings.measure_messages = true;
     return settings;
   }
 
