Reads of the control stream are derived from the recovery bound

Cause: a read that was never answered lived for its wait and the timeout of a call: 1.5 + 1.5 s at an entry, 3 + 1.5 s at a sidecar. The next one began 0.1 to 0.8 s later. A machine counts as in touch 3.0 s after the outage (stable-window-ms), so the sum could not hold in every phase of the read, and nothing compared the two. A connection that stayed silent while new ones worked had the same effect.

Two tests of control_follower_test use calls that never time out.

--- a/filbertwick/http/client.cc
+++ b/filbertwick/http/client.cc
@@ -78,6 +78,7 @@
   Request request;
   CallHook done;
   Instant deadline;
+  ConnectionUse use = ConnectionUse::kAny;
   /// The call timed out or was cancelled: it must not be sent any more, and the
   /// posted CompleteCall() is about to run its hook.
   bool aborted = false;
@@ -103,7 +104,10 @@
     }
   }
 
-  uint64_t Call(Request request, Duration timeout, CallHook done);
+  uint64_t Call(Request request,
+                Duration timeout,
+                CallHook done,
+                ConnectionUse use);
   /// Completes a call with `status`, whether it is queued or being sent. Closes
   /// the connection that carries it.
   void AbortCall(uint64_t call_id, absl::Status status);
@@ -419,13 +423,16 @@
   call_id_ = 0;
 }
 
-uint64_t Client::Impl::Call(Request request, Duration timeout, CallHook done) {
+uint64_t Client::Impl::Call(Request request,
+                            Duration timeout,
+                            CallHook done,
+                            ConnectionUse use) {
   const uint64_t call_id = ++last_call_id_;
   const bool valid =
       IsValidToken(request.method) && IsValidTarget(request.target);
   const Instant deadline = MonotonicClock::now() + timeout;
-  calls_.emplace(call_id,
-                 PendingCall{std::move(request), std::move(done), deadline});
+  calls_.emplace(
+      call_id, PendingCall{std::move(request), std::move(done), deadline, use});
   deadlines_.emplace(deadline, call_id);
   if (!valid) {
     PostCompleteCall(
@@ -441,22 +448,27 @@
 
 void Client::Impl::SendQueuedCalls() {
   while (!queued_calls_.empty()) {
-    auto connection = TakeIdleConnection();
-    if (!connection && busy_connections_.size() >= settings_.max_connections) {
-      return;
-    }
     const uint64_t call_id = queued_calls_.front();
-    queued_calls_.pop_front();
     const auto it = calls_.find(call_id);
     if (it == calls_.end() || it->second.aborted) {
-      if (connection) {
-        idle_connections_.push_back(connection);
-      }
+      queued_calls_.pop_front();
       continue;
     }
+    auto connection =
+        it->second.use == ConnectionUse::kAny ? TakeIdleConnection() : nullptr;
     if (!connection) {
+      if (busy_connections_.size() >= settings_.max_connections) {
+        return;
+      }
+      if (busy_connections_.size() + idle_connections_.size() >=
+          settings_.max_connections) {
+        // The least recently used one is at the front.
+        const auto oldest = idle_connections_.front();
+        oldest->Close();
+      }
       connection = std::make_shared<Connection>(*this, context_);
     }
+    queued_calls_.pop_front();
     busy_connections_.emplace(call_id, connection);
     connection->Send(call_id, it->second.request);
   }
@@ -604,8 +616,11 @@
   return std::unique_ptr<Client>(new Client(std::move(impl)));
 }
 
-uint64_t Client::Call(Request request, Duration timeout, CallHook done) {
-  return impl_->Call(std::move(request), timeout, std::move(done));
+uint64_t Client::Call(Request request,
+                      Duration timeout,
+                      CallHook done,
+                      ConnectionUse use) {
+  return impl_->Call(std::move(request), timeout, std::move(done), use);
 }
 
 void Client::Cancel(uint64_t call_id) {
--- a/filbertwick/http/client.h
+++ b/filbertwick/http/client.h
@@ -53,6 +53,14 @@
   CallProgress progress = CallProgress::kNotSent;
 };
 
+/// Which connection a call may use.
+enum class ConnectionUse {
+  /// An idle one if there is any.
+  kAny,
+  /// One that is opened for the call: those that are open may have gone silent.
+  kNew,
+};
+
 /// Receives the result of a call, on the thread of the client's io_context.
 using CallHook = std::function<void(CallResult)>;
 
@@ -73,7 +81,10 @@
   /// Sends a request, or queues it while all connections are busy; `timeout`
   /// covers both. `done` is called exactly once unless the client is destroyed
   /// first. Returns the call id for Cancel().
-  uint64_t Call(Request request, Duration timeout, CallHook done);
+  uint64_t Call(Request request,
+                Duration timeout,
+                CallHook done,
+                ConnectionUse use = ConnectionUse::kAny);
 
   /// Aborts a call; its hook receives Cancelled. Ids of completed or unknown
   /// calls are ignored.
--- a/filbertwick/platform/control_follower.cc
+++ b/filbertwick/platform/control_follower.cc
@@ -49,7 +49,8 @@
         hooks_(std::move(hooks)),
         freshness_(bound) {}
 
-  void StartFollowing(StoreClient& store, Duration poll) {
+  void StartFollowing(StoreClient& store,
+                      const core::policy::ReadTimes& times) {
     TopicFollowerHooks hooks;
     hooks.newest = [this](std::span<const StoreRecord> records, uint64_t end) {
       ApplyNewest(records, end);
@@ -60,9 +61,9 @@
       control_.Advance(end);
       hooks_.changed();
     };
-    hooks.call_ended = [this](const absl::Status& status) {
+    hooks.call_ended = [this](const absl::Status& status, Instant complete_at) {
       if (status.ok()) {
-        freshness_.Confirm(MonotonicClock::now());
+        freshness_.Confirm(complete_at);
       } else {
         hooks_.log(LogLine("control_read_failed")
                        .AddCause(status)
@@ -76,7 +77,7 @@
               .Add("offset", static_cast<int64_t>(control_.position().offset)));
     };
     follower_ = TopicFollower::Create(context_, store, std::string(kTopic),
-                                      poll, std::move(hooks));
+                                      times, std::move(hooks));
   }
 
   void StopFollowing() { follower_.reset(); }
@@ -262,13 +263,13 @@
 std::unique_ptr<ControlFollower> ControlFollower::Create(
     boost::asio::io_context& context,
     StoreClient& store,
-    Duration poll,
+    const core::policy::ReadTimes& times,
     uint16_t peer_port,
     Duration bound,
     ControlFollowerHooks hooks) {
   auto impl =
       std::make_shared<Impl>(context, peer_port, bound, std::move(hooks));
-  impl->StartFollowing(store, poll);
+  impl->StartFollowing(store, times);
   return std::unique_ptr<ControlFollower>(new ControlFollower(std::move(impl)));
 }
 
--- a/filbertwick/platform/control_follower.h
+++ b/filbertwick/platform/control_follower.h
@@ -10,6 +10,7 @@
 #include "filbertwick/base/time.h"
 #include "filbertwick/core/direct/control_freshness.h"
 #include "filbertwick/core/direct/control_stream_state.h"
+#include "filbertwick/core/policy/read_schedule.h"
 #include "filbertwick/http/message.h"
 #include "filbertwick/platform/store_client.h"
 
@@ -31,13 +32,13 @@
 /// thread.
 class ControlFollower {
  public:
-  /// Starts to read the stream. A read waits up to `poll` at the store for a
-  /// new record. Other instances serve their snapshots on `peer_port`. A change
-  /// has to be in force within `bound`. `store` must outlive the follower.
+  /// Starts to read the stream, at the times `times`. Other instances serve
+  /// their snapshots on `peer_port`. A change has to be in force within
+  /// `bound`. `store` must outlive the follower.
   static std::unique_ptr<ControlFollower> Create(
       boost::asio::io_context& context,
       StoreClient& store,
-      Duration poll,
+      const core::policy::ReadTimes& times,
       uint16_t peer_port,
       Duration bound,
       ControlFollowerHooks hooks);
--- a/filbertwick/platform/peer_service.cc
+++ b/filbertwick/platform/peer_service.cc
@@ -21,9 +21,8 @@
 /// name.
 constexpr const char* kInstancesTopic = "keyed.instances";
 /// Longest wait of an entry's read of the control stream. Entries are the first
-/// to learn of changes and pass them on. On a connection that has gone silent,
-/// a read fails only after this time plus the store client's call timeout, and
-/// changes are delayed until then.
+/// to learn of changes and pass them on, and a route that they do not know is
+/// missing only if the stream was complete within the configuration bound.
 constexpr Duration kEntryPollWait = std::chrono::milliseconds(1500);
 /// Longest wait of a sidecar's read of the control stream. Sidecars learn of
 /// changes from entries; their own read is the fallback.
@@ -60,8 +59,10 @@
     store_ = StoreClient::Create(context_.io, settings.store_address);
     control_ = ControlFollower::Create(
         context_.io, *store_,
-        self_.is_entry ? kEntryPollWait : kSidecarPollWait, settings.peer_port,
-        settings.configuration_bound - kReadDelay,
+        core::policy::ReadTimes::Within(
+            settings.outage_recovery_bound,
+            self_.is_entry ? kEntryPollWait : kSidecarPollWait),
+        settings.peer_port, settings.configuration_bound - kReadDelay,
         {[this] { OnControlChanged(); }, context_.log});
     if (absl::Status status = StartNetwork(settings); !status.ok()) {
       return status;
@@ -205,8 +206,10 @@
     };
     // The last hook does nothing: ControlFollower already logs when the store
     // becomes unreachable.
+    core::policy::ReadTimes times;
+    times.poll_wait = kInstancesPollWait;
     instances_follower_ = TopicFollower::Create(
-        context_.io, *store_, kInstancesTopic, kInstancesPollWait,
+        context_.io, *store_, kInstancesTopic, times,
         {add_instances, add_instances, [](const absl::Status&) {}});
   }
 
--- a/filbertwick/platform/platform_settings.cc
+++ b/filbertwick/platform/platform_settings.cc
@@ -98,6 +98,9 @@
       FindMillis(*bounds, "resend-ms").value_or(settings.resend_after);
   settings.configuration_bound = FindMillis(*bounds, "config-apply-ms")
                                      .value_or(settings.configuration_bound);
+  settings.outage_recovery_bound =
+      FindMillis(*bounds, "stable-window-ms")
+          .value_or(settings.outage_recovery_bound);
   settings.max_lease =
       FindMillis(*bounds, "hold-max-ms").value_or(settings.max_lease);
   if (const auto grace = FindNumber(*bounds, "grace-s")) {
--- a/filbertwick/platform/platform_settings.h
+++ b/filbertwick/platform/platform_settings.h
@@ -61,6 +61,9 @@
   /// Time within which a published configuration has to be in force
   /// (`bounds`.`config-apply-ms`).
   Duration configuration_bound = std::chrono::milliseconds(2000);
+  /// Time after an outage of the store, or of a path to it, within which this
+  /// instance has to be up to date again (`bounds`.`stable-window-ms`).
+  Duration outage_recovery_bound = std::chrono::milliseconds(3000);
   /// Longest lease that an upstream grants (`bounds`.`hold-max-ms`).
   Duration max_lease = std::chrono::milliseconds(1000);
   /// What this process may use, as far as the settings tell: the share
--- a/filbertwick/platform/store_client.cc
+++ b/filbertwick/platform/store_client.cc
@@ -16,11 +16,11 @@
 
 namespace json = boost::json;
 
-/// Timeout of a call, without the time of a long poll. The store answers within
-/// ten milliseconds, or within half a second while it is slow.
-constexpr Duration kCallTimeout = std::chrono::milliseconds(1500);
 /// Idle connections are kept this long for the next long poll.
 constexpr Duration kIdleTimeout = std::chrono::seconds(20);
+/// Limit of connections to the store: the reads of two followers, each with up
+/// to three that are not answered, and a write.
+constexpr size_t kMaxConnections = 8;
 
 const unsigned char* AsBytes(std::string_view text) {
   return reinterpret_cast<const unsigned char*>(text.data());
@@ -126,11 +126,14 @@
 
 class StoreClient::Impl {
  public:
-  Impl(boost::asio::io_context& context, const Address& address) {
+  Impl(boost::asio::io_context& context,
+       const Address& address,
+       Duration call_timeout)
+      : call_timeout_(call_timeout) {
     http::ClientSettings settings;
     settings.host = address.host;
     settings.port = address.port;
-    settings.max_connections = 4;
+    settings.max_connections = kMaxConnections;
     settings.idle_timeout = kIdleTimeout;
     client_ = http::Client::Create(context, settings);
   }
@@ -138,16 +141,19 @@
   void Call(std::string_view method,
             std::string target,
             std::string body,
-            Duration timeout,
-            http::CallHook done) {
+            Duration wait,
+            http::CallHook done,
+            http::ConnectionUse use = http::ConnectionUse::kAny) {
     http::Request request;
     request.method = method;
     request.target = std::move(target);
     request.body = std::move(body);
-    client_->Call(std::move(request), timeout, std::move(done));
+    client_->Call(std::move(request), wait + call_timeout_, std::move(done),
+                  use);
   }
 
  private:
+  const Duration call_timeout_;
   std::unique_ptr<http::Client> client_;
 };
 
@@ -156,26 +162,30 @@
 
 std::unique_ptr<StoreClient> StoreClient::Create(
     boost::asio::io_context& context,
-    const Address& address) {
+    const Address& address,
+    Duration call_timeout) {
   return std::unique_ptr<StoreClient>(
-      new StoreClient(std::make_unique<Impl>(context, address)));
+      new StoreClient(std::make_unique<Impl>(context, address, call_timeout)));
 }
 
 void StoreClient::ReadNewest(const TopicPartition& partition,
                              std::string_view after,
-                             NewestHook done) {
+                             NewestHook done,
+                             http::ConnectionUse use) {
   std::string target = FormatTarget("log-newest", partition);
   if (!after.empty()) {
     target += fmt::format("&after={}", after);
   }
-  impl_->Call("GET", std::move(target), "", kCallTimeout,
-              [done = std::move(done)](const http::CallResult& result) {
-                if (absl::Status status = ToStatus(result); !status.ok()) {
-                  done(std::move(status));
-                  return;
-                }
-                done(ParseNewestPage(result.response->body));
-              });
+  impl_->Call(
+      "GET", std::move(target), "", Duration(0),
+      [done = std::move(done)](const http::CallResult& result) {
+        if (absl::Status status = ToStatus(result); !status.ok()) {
+          done(std::move(status));
+          return;
+        }
+        done(ParseNewestPage(result.response->body));
+      },
+      use);
 }
 
 void StoreClient::ReadValue(const TopicPartition& partition,
@@ -199,14 +209,15 @@
 void StoreClient::Read(const TopicPartition& partition,
                        uint64_t from,
                        Duration wait,
-                       ReadHook done) {
+                       ReadHook done,
+                       http::ConnectionUse use) {
   const auto millis =
       std::chrono::duration_cast<std::chrono::milliseconds>(wait);
   impl_->Call(
       "GET",
       fmt::format("{}&from={}&wait-ms={}", FormatTarget("log-read", partition),
                   from, millis.count()),
-      "", wait + kCallTimeout,
+      "", wait,
       [from, done = std::move(done)](const http::CallResult& result) {
         if (result.response.ok() && result.response->status == 410) {
           StoreBatch batch;
@@ -219,7 +230,8 @@
           return;
         }
         done(ParseBatch(result.response->body, from));
-      });
+      },
+      use);
 }
 
 void StoreClient::Append(const TopicPartition& partition,
@@ -234,7 +246,7 @@
   body += key;
   body += value;
   impl_->Call("POST", FormatTarget("log-append", partition), std::move(body),
-              kCallTimeout,
+              Duration(0),
               [done = std::move(done)](const http::CallResult& result) {
                 done(ToStatus(result));
               });
--- a/filbertwick/platform/store_client.h
+++ b/filbertwick/platform/store_client.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "filbertwick/base/time.h"
+#include "filbertwick/http/client.h"
 #include "filbertwick/platform/platform_settings.h"
 
 namespace filbertwick::platform {
@@ -71,15 +72,22 @@
   using ReadHook = std::function<void(absl::StatusOr<StoreBatch>)>;
   using AppendHook = std::function<void(absl::Status)>;
 
-  static std::unique_ptr<StoreClient> Create(boost::asio::io_context& context,
-                                             const Address& address);
+  /// Timeout of a call, without the time of a long poll. The store answers
+  /// within ten milliseconds, or within half a second while it is slow.
+  static constexpr Duration kCallTimeout = std::chrono::milliseconds(1500);
+
+  static std::unique_ptr<StoreClient> Create(
+      boost::asio::io_context& context,
+      const Address& address,
+      Duration call_timeout = kCallTimeout);
   ~StoreClient();
 
   /// Reads one page of the newest records. `after` is the last key of the
   /// previous page, empty for the first page.
   void ReadNewest(const TopicPartition& partition,
                   std::string_view after,
-                  NewestHook done);
+                  NewestHook done,
+                  http::ConnectionUse use = http::ConnectionUse::kAny);
   /// Reads the newest value of one key, which must not be empty.
   void ReadValue(const TopicPartition& partition,
                  std::string_view key,
@@ -88,7 +96,8 @@
   void Read(const TopicPartition& partition,
             uint64_t from,
             Duration wait,
-            ReadHook done);
+            ReadHook done,
+            http::ConnectionUse use = http::ConnectionUse::kAny);
   /// Appends one record; without a value it deletes the key. A failed append
   /// may have been written nevertheless.
   void Append(const TopicPartition& partition,
--- a/filbertwick/platform/topic_follower.h
+++ b/filbertwick/platform/topic_follower.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "filbertwick/base/time.h"
+#include "filbertwick/core/policy/read_schedule.h"
 #include "filbertwick/platform/store_client.h"
 
 namespace filbertwick::platform {
@@ -29,8 +30,9 @@
   /// unreachable, and with OK when it is reachable again.
   std::function<void(const absl::Status&)> store_changed;
   /// Called with the status of every call, after its records were passed on.
-  std::function<void(const absl::Status&)> call_ended =
-      [](const absl::Status&) {};
+  /// After a success, the topic was complete at `complete_at` at the least.
+  std::function<void(const absl::Status&, Instant complete_at)> call_ended =
+      [](const absl::Status&, Instant) {};
 };
 
 /// Follows a keyed topic: reads the newest record of each key, then all further
@@ -38,13 +40,14 @@
 /// no longer retains the next offset.
 class TopicFollower {
  public:
-  /// Starts to read. A read waits up to `poll` at the store for a new record.
-  /// `store` must outlive the object.
-  static std::unique_ptr<TopicFollower> Create(boost::asio::io_context& context,
-                                               StoreClient& store,
-                                               std::string topic,
-                                               Duration poll,
-                                               TopicFollowerHooks hooks);
+  /// Starts to read; `times` tells how long a read waits at the store for a new
+  /// record, and when another one begins. `store` must outlive the object.
+  static std::unique_ptr<TopicFollower> Create(
+      boost::asio::io_context& context,
+      StoreClient& store,
+      std::string topic,
+      const core::policy::ReadTimes& times,
+      TopicFollowerHooks hooks);
   ~TopicFollower();
 
  private:
--- a/filbertwick/standin/platform_store.cc
+++ b/filbertwick/standin/platform_store.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/endian/conversion.hpp>
 #include <map>
+#include <ranges>
 #include <utility>
 #include <vector>
 
@@ -101,6 +102,14 @@
 
   void SetDown(bool down) { down_ = down; }
 
+  void SetSilent(bool silent) {
+    silent_ = silent;
+    for (LongPoll& poll : long_polls_ | std::views::values) {
+      unanswered_.push_back(std::move(poll.respond));
+    }
+    long_polls_.clear();
+  }
+
   void Compact(std::string_view topic) {
     Topic& log = topics_[std::string(topic)];
     log.records.clear();
@@ -125,7 +134,9 @@
                       target.FindNumber("part").value_or(0));
     const std::string_view call =
         target.segments().empty() ? "" : target.segments().back();
-    if (down_) {
+    if (silent_) {
+      unanswered_.push_back(respond);
+    } else if (down_) {
       respond(EmptyResponse(503));
     } else if (call == "log-append") {
       respond(Append(topic, request.body));
@@ -254,6 +265,9 @@
   std::map<uint64_t, LongPoll> long_polls_;
   uint64_t last_poll_id_ = 0;
   bool down_ = false;
+  bool silent_ = false;
+  /// Responders of the requests that are never answered.
+  std::vector<http::Responder> unanswered_;
 };
 
 PlatformStore::PlatformStore(std::shared_ptr<Impl> impl)
@@ -281,6 +295,10 @@
   impl_->SetDown(down);
 }
 
+void PlatformStore::SetSilent(bool silent) {
+  impl_->SetSilent(silent);
+}
+
 void PlatformStore::Compact(std::string_view topic) {
   impl_->Compact(topic);
 }
--- a/filbertwick/standin/platform_store.h
+++ b/filbertwick/standin/platform_store.h
@@ -32,6 +32,10 @@
            std::string_view value);
   /// While down, the store answers every request with status 503.
   void SetDown(bool down);
+  /// While silent, the store answers no request. Requests that it has received
+  /// and not answered by then are never answered, as on a connection that has
+  /// gone silent for good.
+  void SetSilent(bool silent);
   /// Deletes all records of a topic from its log but keeps the newest record of
   /// each key. A later read below the end of the topic is answered with status
   /// 410.
--- a/unit_tests/control_follower_test.cc
+++ b/unit_tests/control_follower_test.cc
@@ -14,6 +14,7 @@
 
 namespace {
 
+using filbertwick::Duration;
 using filbertwick::LogLine;
 using filbertwick::ZoneName;
 using filbertwick::core::direct::ControlPosition;
@@ -33,13 +34,20 @@
 /// A ControlFollower with its own store client, on its own thread.
 class TestFollower {
  public:
-  TestFollower(uint16_t store_port, uint16_t peer_port) {
+  TestFollower(uint16_t store_port,
+               uint16_t peer_port,
+               Duration call_timeout = StoreClient::kCallTimeout) {
     loop_.Run([&] {
-      client_ = StoreClient::Create(loop_.context(), {"127.0.0.1", store_port});
+      client_ = StoreClient::Create(loop_.context(), {"127.0.0.1", store_port},
+                                    call_timeout);
+      filbertwick::core::policy::ReadTimes times;
+      times.poll_wait = std::chrono::milliseconds(200);
+      times.overdue_after = std::chrono::milliseconds(50);
+      times.lost_interval = std::chrono::milliseconds(50);
       follower_ = ControlFollower::Create(
-          loop_.context(), *client_, std::chrono::milliseconds(200), peer_port,
-          std::chrono::seconds(2),
-          {[this] { CheckPredicate(); }, [](const LogLine&) {}});
+          loop_.context(), *client_, times, peer_port, std::chrono::seconds(2),
+          {[this] { CheckPredicate(); },
+           [this](const LogLine& line) { OnLogged(line.event()); }});
     });
   }
   ~TestFollower() {
@@ -62,6 +70,16 @@
     reached.get_future().wait();
   }
 
+  /// Waits until the follower logs an event.
+  void WaitForEvent(const std::string& event) {
+    std::promise<void> logged;
+    loop_.Run([&] {
+      event_ = event;
+      logged_ = &logged;
+    });
+    logged.get_future().wait();
+  }
+
   /// Starts to serve its snapshot to other followers; returns the port.
   uint16_t ServeSnapshots() {
     loop_.Run([&] {
@@ -86,7 +104,16 @@
     }
   }
 
+  void OnLogged(std::string_view event) {
+    if (logged_ != nullptr && event == event_) {
+      std::exchange(logged_, nullptr)->set_value();
+    }
+  }
+
   LoopThread loop_;
+  /// Set while WaitForEvent() waits.
+  std::promise<void>* logged_ = nullptr;
+  std::string event_;
   std::function<bool(const ControlStreamState&)> predicate_;
   /// Set while WaitFor() waits.
   std::promise<void>* reached_ = nullptr;
@@ -202,6 +229,37 @@
   }
 }
 
+// A read on a connection that had gone silent kept a changed configuration out
+// of force until it timed out. These calls never do.
+Test(control_follower, reads_on_a_new_connection_beside_a_silent_one) {
+  ControlTest test;
+  TestFollower follower(test.store->port(), 1, std::chrono::hours(1));
+  follower.WaitFor(HasVersion(3));
+  test.loop.Run([&] {
+    test.store->SetSilent(true);
+    test.store->SetSilent(false);
+    test.store->Put(kTopic, "config", ConfigurationText(5));
+  });
+  follower.WaitFor(HasVersion(5));
+}
+
+// The same after outages in which no read, whenever it began, was answered, one
+// after the other: the connections of all of them stay silent.
+Test(control_follower, follows_again_after_each_silent_outage) {
+  ControlTest test;
+  TestFollower follower(test.store->port(), 1, std::chrono::hours(1));
+  follower.WaitFor(HasVersion(3));
+  for (int version = 4; version < 7; ++version) {
+    test.loop.Run([&] { test.store->SetSilent(true); });
+    follower.WaitForEvent("store_lost");
+    test.loop.Run([&] {
+      test.store->SetSilent(false);
+      test.store->Put(kTopic, "config", ConfigurationText(version));
+    });
+    follower.WaitFor(HasVersion(static_cast<uint64_t>(version)));
+  }
+}
+
 Test(store_client, appends_and_reads_binary_values) {
   ControlTest test;
   std::unique_ptr<StoreClient> client;
--- a/unit_tests/job_handover_size_test.cc
+++ b/unit_tests/job_handover_size_test.cc
@@ -15,7 +15,6 @@
 using filbertwick::Duration;
 using filbertwick::InstanceName;
 using filbertwick::Instant;
-using filbertwick::ToMicros;
 using filbertwick::ZoneName;
 using filbertwick::core::policy::kMaxPartBytes;
 using filbertwick::core::policy::kMessageBytes;
