A job that fits into no offer is answered 400 with the limit

Cause: an offer contains the spec, the service and the queue of its job.

Change: a job whose texts exceed 11,264 bytes is answered 400, with the limit in the answer.

--- a/filbertwick/core/direct/offer_split.cc
+++ b/filbertwick/core/direct/offer_split.cc
@@ -10,6 +10,7 @@
 /// Upper bound of the encoded size of an offered task and of the offer's
 /// numbers, in bytes.
 constexpr size_t kMaxTaskBytes = 512;
+static_assert(kMaxOfferTextBytes + 2 * kMaxTaskBytes <= kMaxOfferBytes);
 
 }  // namespace
 
@@ -35,9 +36,8 @@
 }
 
 bool FitsIntoOffers(const JobRequest& job) {
-  return job.spec.size() + job.service.size() + job.queue.size() +
-             2 * kMaxTaskBytes <=
-         kMaxOfferBytes;
+  return job.spec.size() + job.service.size() + job.queue.size() <=
+         kMaxOfferTextBytes;
 }
 
 }  // namespace filbertwick::core::direct
--- a/filbertwick/platform/entry_node.cc
+++ b/filbertwick/platform/entry_node.cc
@@ -12,6 +12,7 @@
 #include "filbertwick/core/direct/direct_entry.h"
 #include "filbertwick/core/direct/job_footprint.h"
 #include "filbertwick/core/direct/names.h"
+#include "filbertwick/core/direct/offer_split.h"
 #include "filbertwick/http/json_response.h"
 #include "filbertwick/http/server.h"
 #include "filbertwick/http/target.h"
@@ -468,6 +469,11 @@
                  ? RetryResponse("unsupported", kShortRetryAfter)
                  : ErrorResponse(400, "no_job");
     }
+    if (!core::direct::FitsIntoOffers(*job)) {
+      return ErrorResponse(
+          400, "spec_service_and_route_above_" +
+                   std::to_string(core::direct::kMaxOfferTextBytes) + "_bytes");
+    }
     auto memory = core::policy::ClientReservation::Create(
         MonotonicClock::now(), context_.client_budget,
         core::direct::EstimateFootprint(*job));
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -35,6 +35,17 @@
 /// first attempt would overlap with a run of the resent job and be noticed.
 constexpr uint64_t kMaxLongRunMillis = 3500;
 constexpr double kLongRunProbability = 0.1;
+/// Some specs are as long as callers may make them, so that the jobs which wait
+/// together exceed a datagram.
+constexpr size_t kMaxSpecBytes = 4000;
+constexpr double kLongSpecProbability = 0.3;
+/// A few jobs have as many tasks as callers may give them, which are short: far
+/// more than all upstreams run at a time.
+constexpr uint32_t kMaxWideTasks = 980;
+constexpr uint64_t kMaxWideRunMillis = 5;
+constexpr double kWideJobProbability = 0.005;
+/// Combined with the seed for the size of jobs.
+constexpr uint64_t kSizeSeed = 0x9e3779b97f4a7c15;
 
 }  // namespace
 
@@ -45,6 +56,7 @@
         settings_(std::move(settings)),
         observer_(observer),
         random_(settings_.seed),
+        size_random_(settings_.seed ^ kSizeSeed),
         load_timer_(context),
         ready_timer_(context),
         ready_(settings_.entries.size(), false) {
@@ -101,6 +113,7 @@
   const CallerSettings settings_;
   Observer& observer_;
   harness::Random random_;
+  harness::Random size_random_;
   asio::steady_timer load_timer_;
   asio::steady_timer ready_timer_;
   std::vector<bool> ready_;
@@ -157,14 +170,21 @@
   job->done = std::move(done);
   job->sticky = random_.Chance(0.5);
   job->entry = random_.Below(clients_.size());
-  const uint32_t tasks = 1 + static_cast<uint32_t>(random_.Below(kMaxTasks));
-  const uint64_t length =
+  uint32_t tasks = 1 + static_cast<uint32_t>(random_.Below(kMaxTasks));
+  uint64_t length =
       1 + random_.Below(random_.Chance(kLongRunProbability) ? kMaxLongRunMillis
                                                             : kMaxRunMillis);
+  if (size_random_.Chance(kWideJobProbability)) {
+    tasks = 1 + static_cast<uint32_t>(size_random_.Below(kMaxWideTasks));
+    length = 1 + size_random_.Below(kMaxWideRunMillis);
+  }
+  const size_t digits =
+      size_random_.Chance(kLongSpecProbability) ? kMaxSpecBytes - 4 : 1;
+  const std::string spec = fmt::format("run {:0{}}", length, digits);
   job->body = fmt::format(
-      R"({{"spec":"run {}","best-effort":true,"steps":[{{"count":{},)"
+      R"({{"spec":"{}","best-effort":true,"steps":[{{"count":{},)"
       R"("cpu":1000,"mem-mb":100,"estimate-ms":{}}}]}})",
-      length, tasks, length);
+      spec, tasks, length);
   observer_.OnSubmitted(job->id, tasks);
   ++open_;
   Send(job);
--- a/unit_tests/entry_node_test.cc
+++ b/unit_tests/entry_node_test.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "filbertwick/core/direct/offer_split.h"
 #include "filbertwick/platform/node.h"
 #include "filbertwick/standin/platform_store.h"
 #include "unit_tests/http_fixture.h"
@@ -15,6 +16,7 @@
 using filbertwick::Duration;
 using filbertwick::InstanceName;
 using filbertwick::LogLine;
+using filbertwick::core::direct::kMaxOfferTextBytes;
 using filbertwick::platform::CreateEntryNode;
 using filbertwick::platform::Node;
 using filbertwick::platform::PlatformSettings;
@@ -29,8 +31,8 @@
   return acceptor.local_endpoint().port();
 }
 
-/// An entry that has read its configuration, with the route h/p/, from a store
-/// stand-in.
+/// An entry that has read its configuration from a store stand-in: the route
+/// h/p/, and h/w/ with a service too long for any job.
 class TestEntry {
  public:
   explicit TestEntry(Duration configuration_bound) {
@@ -46,7 +48,9 @@
       store_ = *PlatformStore::Create(loop_.context(), "127.0.0.1", 0);
       store_->Put(
           "keyed.op", "config",
-          R"({"version":3,"routes":[{"host":"h","path-prefix":"/p/","service":"s"}]})");
+          R"({"version":3,"routes":[{"host":"h","path-prefix":"/p/","service":"s"},)"
+          R"({"host":"h","path-prefix":"/w/","service":")" +
+              std::string(kMaxOfferTextBytes, 's') + R"("}]})");
       settings_.store_address = {"127.0.0.1", store_->port()};
       node_ =
           *CreateEntryNode(settings_, 1,
@@ -66,6 +70,17 @@
     store_.reset();
   }
 
+  /// Submits a job and returns the response.
+  std::string Submit(const std::string& path) {
+    const std::string body =
+        R"({"spec":"s","best-effort":true,"steps":[{"cpu":1}]})";
+    RawConnection caller(settings_.caller_listener.port);
+    caller.Send("POST " + path + "0123456789abcdef HTTP/1.1\r\nHost: h\r\n" +
+                "Connection: close\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n" + body);
+    return caller.ReadAll();
+  }
+
   /// Returns the status line of the response to a GET request.
   std::string Get(const std::string& path) {
     RawConnection caller(settings_.caller_listener.port);
@@ -96,3 +111,11 @@
   cr_assert_eq(entry.Get("/q/"), "HTTP/1.1 503");
   cr_assert_eq(entry.Get("/p/"), "HTTP/1.1 200");
 }
+
+// A task that fits into no offer would wait until its time limit.
+Test(entry_node, refuses_a_job_that_fits_into_no_offer_with_the_limit) {
+  TestEntry entry(std::chrono::hours(1));
+  const std::string answer = entry.Submit("/w/");
+  cr_assert(answer.starts_with("HTTP/1.1 400"), "%s", answer.c_str());
+  cr_assert(answer.find("11264") != std::string::npos, "%s", answer.c_str());
+}
