--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -181,10 +181,10 @@
   const size_t digits =
       size_random_.Chance(kLongSpecProbability) ? kMaxSpecBytes - 4 : 1;
   const std::string spec = fmt::format("run {:0{}}", length, digits);
-  job->body = fmt::format(
-      R"({{"spec":"{}","best-effort":true,"steps":[{{"count":{},)"
-      R"("cpu":1000,"mem-mb":100,"estimate-ms":{}}}]}})",
-      spec, tasks, length);
+  job->body =
+      fmt::format(R"({{"spec":"{}","best-effort":true,"steps":[{{"count":{},)"
+                  R"("cpu":1000,"mem-mb":100,"estimate-ms":{}}}]}})",
+                  spec, tasks, length);
   observer_.OnSubmitted(job->id, tasks);
   ++open_;
   Send(job);
