An offer's id is read before the offer is moved

The linter reported a use after a move where an offer is entered under its id: the order of the two arguments is not fixed. The id is a number and stays in place, so nothing was wrong at run time.

--- a/filbertwick/core/direct/direct_entry_placement.cc
+++ b/filbertwick/core/direct/direct_entry_placement.cc
@@ -310,13 +310,14 @@
     offer.service = job.spec.service;
     offer.queue = job.spec.queue;
     for (Offer& part : SplitOffer(std::move(offer))) {
-      part.id = ++last_offer_id_;
+      const uint64_t id = ++last_offer_id_;
+      part.id = id;
       const size_t bytes = wire::EncodedSize(part);
-      view.offers.emplace(part.id, OpenOffer{std::move(part),
-                                             {},
-                                             policy::ResendTimer(now),
-                                             job.number,
-                                             bytes});
+      view.offers.emplace(id, OpenOffer{std::move(part),
+                                        {},
+                                        policy::ResendTimer(now),
+                                        job.number,
+                                        bytes});
     }
     view.send_due = true;
   }
